Lay the base: calls between processes, clock, time line, messages of each slice

Cause: nothing stood yet; every slice needs the same types first. Ruled out: jsonrpsee's server and client need tokio, so only its message types are used over monoio TCP. Conclusion: slices can be built side by side against these types.

--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,5 @@
+//! The control daemon: the replicated state and those who ask for it.
+
+pub mod command;
+
+pub use command::{Applied, Command};
--- /dev/null
+++ b/src/delegate/mod.rs
@@ -0,0 +1,16 @@
+//! Delegations: which entry VM grants keys in a zone, and for how long.
+//!
+//! The replicated log records, for each service and zone, the spans delegated
+//! to it, the carrier and an epoch. Every change of a delegation takes a
+//! higher epoch, and fences are derived from it ([`messages::fence`]), so
+//! fences grow through every failover.
+//!
+//! A carrier may act only while a majority of its voters confirmed it within
+//! [`crate::timing::CARRIER_LEASE`] and its term has not run out. Voters are a
+//! few entry VMs of the zone; the control VMs add one vote where the count
+//! is even. Thus a zone that is cut off keeps its carrier for the term, and a
+//! carrier that is lost is replaced without waiting for the term.
+
+pub mod messages;
+
+pub use messages::{Delegation, fence};
--- /dev/null
+++ b/src/document/model.rs
@@ -0,0 +1,122 @@
+//! The shape of a document.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock;
+use crate::ids;
+
+/// Document of one service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Service described; also the host name that callers use.
+    pub service: ids::ServiceName,
+    /// Ranks of requests, the most important first.
+    pub ranks: Vec<Arc<str>>,
+    /// Requests that the service handles; the first match counts.
+    pub routes: Vec<Route>,
+    /// How keys are placed on backend servers.
+    #[serde(default)]
+    pub placement: Placement,
+    /// How long a zone that is cut off keeps its keys, in milliseconds.
+    #[serde(default = "default_term", rename = "term_ms", with = "clock::millis")]
+    pub term: Duration,
+    /// Limits that protect the backend servers.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// One kind of request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name for logs and metrics.
+    pub name: Arc<str>,
+    /// HTTP method, upper case.
+    pub method: Arc<str>,
+    /// Path pattern such as `/lockers/{locker}/release`; a last `{rest..}` takes what is left.
+    pub path: Arc<str>,
+    /// Where the key stands: `path:locker`, `header:x-locker` or `query:locker`.
+    pub key: Arc<str>,
+    /// Rank, one of the document's `ranks`.
+    pub rank: Arc<str>,
+    /// Whether the request may be repeated.
+    pub repeat: Repeat,
+    /// Longest time from arrival to answer, in milliseconds.
+    #[serde(rename = "deadline_ms", with = "clock::millis")]
+    pub deadline: Duration,
+}
+
+/// Whether a request may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Repeat {
+    /// Idempotent: may be sent again at any time.
+    Idempotent,
+    /// Never sent again unless it is proved not to have run.
+    Once,
+    /// As `Once`, and its outcome is recorded durably under the caller's claim id.
+    Claim,
+}
+
+/// How keys are placed; the three weights are compared with each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Placement {
+    /// Number of spans that the key space is first cut into, 16 to 4096.
+    pub spans: u64,
+    /// Weight of uneven load, 0 to 100.
+    pub imbalance: u32,
+    /// Weight of keys that change owner, 0 to 100.
+    pub churn: u32,
+    /// Weight of time in which keys are not served, 0 to 100.
+    pub unavailable: u32,
+}
+
+/// Limits that protect the backend servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Requests that wait at one entry VM for one backend server, at most.
+    pub queue: u32,
+    /// Longest wait in that queue, in milliseconds.
+    #[serde(rename = "queue_ms", with = "clock::millis")]
+    pub wait: Duration,
+    /// Retries for each hundred requests, at most.
+    pub retry_percent: u32,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: u64,
+    /// How long the outcome of a claim is remembered, in milliseconds.
+    #[serde(rename = "claim_memory_ms", with = "clock::millis")]
+    pub claim_memory: Duration,
+}
+
+impl Default for Placement {
+    fn default() -> Self {
+        Self {
+            spans: 256,
+            imbalance: 1,
+            churn: 1,
+            unavailable: 1,
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            queue: 64,
+            wait: Duration::from_millis(200),
+            retry_percent: 10,
+            body_bytes: 1 << 20,
+            claim_memory: Duration::from_hours(24),
+        }
+    }
+}
+
+fn default_term() -> Duration {
+    Duration::from_secs(2)
+}
--- /dev/null
+++ b/src/grant/mod.rs
@@ -0,0 +1,10 @@
+//! Grants: which backend server owns which spans.
+//!
+//! A backend server asks its zone's carrier for its lease every
+//! [`crate::timing::HEARTBEAT`]. The answer lists its grants and extends one
+//! lease over all of them, counted by the server from the moment it asked, so
+//! that an answer that arrives late cannot prolong anything.
+
+pub mod messages;
+
+pub use messages::{Grant, LeaseAnswer, LeaseRequest};
--- /dev/null
+++ b/src/keys.rs
@@ -0,0 +1,93 @@
+//! The space of key hashes and the spans that cut it up.
+//!
+//! Ownership is held by spans of hashes, never by single keys. A hot key is a
+//! span of one hash, split out of the span around it.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Hash of a key, below [`SPACE`].
+pub type KeyHash = u64;
+
+/// Number of hashes, 2^48.
+pub const SPACE: u64 = 1 << 48;
+
+/// Hash of a key: the low 48 bits of XXH3-64 over its UTF-8 bytes.
+pub fn hash(key: &str) -> KeyHash {
+    xxhash_rust::xxh3::xxh3_64(key.as_bytes()) & (SPACE - 1)
+}
+
+/// Span of hashes, both ends included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Span {
+    /// First hash.
+    pub start: KeyHash,
+    /// Last hash, at least `start`.
+    pub end: KeyHash,
+}
+
+impl Span {
+    /// The whole space.
+    pub const ALL: Self = Self {
+        start: 0,
+        end: SPACE - 1,
+    };
+
+    /// The span of one hash.
+    pub const fn one(hash: KeyHash) -> Self {
+        Self {
+            start: hash,
+            end: hash,
+        }
+    }
+
+    /// Whether the hash lies in this span.
+    pub const fn contains(&self, hash: KeyHash) -> bool {
+        self.start <= hash && hash <= self.end
+    }
+
+    /// Whether the spans share a hash.
+    pub const fn overlaps(&self, other: &Self) -> bool {
+        self.start <= other.end && other.start <= self.end
+    }
+
+    /// Number of hashes in this span.
+    pub const fn width(&self) -> u64 {
+        self.end - self.start + 1
+    }
+
+    /// Cuts the whole space into `count` spans of nearly equal width; empty for zero.
+    pub fn cut(count: u64) -> Vec<Self> {
+        let bound = |i: u64| SPACE / count * i + (SPACE % count) * i / count;
+        (0..count)
+            .map(|i| Self {
+                start: bound(i),
+                end: bound(i + 1) - 1,
+            })
+            .collect()
+    }
+
+    /// The parts left of this span once `hash` is split out, in order.
+    pub fn without(&self, hash: KeyHash) -> Vec<Self> {
+        if !self.contains(hash) {
+            return vec![*self];
+        }
+        let left = (self.start < hash).then(|| Self {
+            start: self.start,
+            end: hash - 1,
+        });
+        let right = (hash < self.end).then(|| Self {
+            start: hash + 1,
+            end: self.end,
+        });
+        left.into_iter().chain(right).collect()
+    }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:012x}-{:012x}", self.start, self.end)
+    }
+}
--- /dev/null
+++ b/src/rpc/frame.rs
@@ -0,0 +1,133 @@
+//! Frames and the messages inside them.
+
+use std::borrow::Cow;
+use std::io;
+
+use jsonrpsee_types::{ErrorObject, Id, Request, Response, ResponsePayload};
+use monoio::io::{AsyncReadRent, AsyncReadRentExt};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use super::error::Fault;
+use crate::timeline::Stamp;
+
+/// Longest frame that is read or sent, in bytes.
+pub const FRAME_LIMIT_BYTES: usize = 64 << 20;
+
+/// Bytes of the length before each frame.
+const PREFIX_BYTES: usize = 4;
+
+/// Parameters or result of a call, with the sender's stamp.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Clock of the sender.
+    pub stamp: Stamp,
+    /// The message itself.
+    pub body: Box<RawValue>,
+}
+
+/// A call as it arrived.
+#[derive(Debug)]
+pub struct Call {
+    /// Id that the answer repeats.
+    pub id: u64,
+    /// Method called.
+    pub method: Box<str>,
+    /// Parameters.
+    pub envelope: Envelope,
+}
+
+/// An answer as it arrived.
+#[derive(Debug)]
+pub struct Reply {
+    /// Id of the call.
+    pub id: u64,
+    /// Result or fault.
+    pub result: Result<Envelope, Fault>,
+}
+
+/// Encodes a call as a frame.
+pub fn encode_call(
+    id: u64,
+    method: &str,
+    envelope: &Envelope,
+) -> Result<Vec<u8>, serde_json::Error> {
+    let params = serde_json::value::to_raw_value(envelope)?;
+    let request = Request::borrowed(method, Some(&params), Id::Number(id));
+    Ok(with_prefix(&serde_json::to_vec(&request)?))
+}
+
+/// Encodes an answer as a frame.
+pub fn encode_reply(
+    id: u64,
+    result: &Result<Envelope, Fault>,
+) -> Result<Vec<u8>, serde_json::Error> {
+    let payload = match result {
+        Ok(envelope) => ResponsePayload::success_borrowed(envelope),
+        Err(fault) => ResponsePayload::error(ErrorObject::owned(
+            fault.code,
+            &*fault.message,
+            fault.data.clone(),
+        )),
+    };
+    let response = Response::new(payload, Id::Number(id));
+    Ok(with_prefix(&serde_json::to_vec(&response)?))
+}
+
+/// Decodes a call; `None` when the frame is no such thing.
+pub fn decode_call(frame: &[u8]) -> Option<Call> {
+    let request: Request<'_> = serde_json::from_slice(frame).ok()?;
+    let params: Cow<'_, RawValue> = request.params?;
+    Some(Call {
+        id: request.id.try_parse_inner_as_number().ok()?,
+        method: request.method.into(),
+        envelope: serde_json::from_str(params.get()).ok()?,
+    })
+}
+
+/// Decodes an answer; `None` when the frame is no such thing.
+pub fn decode_reply(frame: &[u8]) -> Option<Reply> {
+    let response: Response<'_, Box<RawValue>> = serde_json::from_slice(frame).ok()?;
+    let id = response.id.try_parse_inner_as_number().ok()?;
+    let result = match response.payload {
+        ResponsePayload::Success(raw) => Ok(serde_json::from_str(raw.get()).ok()?),
+        ResponsePayload::Error(error) => Err(Fault {
+            code: error.code(),
+            message: error.message().into(),
+            data: error
+                .data()
+                .and_then(|raw| serde_json::from_str(raw.get()).ok()),
+        }),
+    };
+    Some(Reply { id, result })
+}
+
+/// Reads one frame.
+///
+/// # Errors
+///
+/// The stream's error, or `InvalidData` for a frame over [`FRAME_LIMIT_BYTES`].
+pub async fn read<R>(stream: &mut R) -> io::Result<Vec<u8>>
+where
+    R: AsyncReadRent,
+{
+    let (result, prefix) = stream.read_exact(vec![0u8; PREFIX_BYTES]).await;
+    result?;
+    let prefix = <[u8; PREFIX_BYTES]>::try_from(prefix)
+        .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+    let length = u32::from_be_bytes(prefix) as usize;
+    if length > FRAME_LIMIT_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let (result, body) = stream.read_exact(vec![0u8; length]).await;
+    result?;
+    Ok(body)
+}
+
+fn with_prefix(body: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
+    let mut frame = Vec::with_capacity(PREFIX_BYTES + body.len());
+    frame.extend_from_slice(&length.to_be_bytes());
+    frame.extend_from_slice(body);
+    frame
+}
--- /dev/null
+++ b/src/rpc/server.rs
@@ -0,0 +1,111 @@
+//! The answering side of connections.
+
+use std::rc::Rc;
+
+use local_sync::mpsc::unbounded as queue;
+use monoio::io::{AsyncWriteRentExt, Splitable};
+use monoio::net::tcp::TcpOwnedWriteHalf;
+use monoio::net::{TcpListener, TcpStream};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+
+use super::error::{self, Fault};
+use super::frame::{self, Call, Envelope};
+use crate::timeline::Journal;
+
+/// Result of a call, already encoded.
+pub type Answer = Result<Box<RawValue>, Fault>;
+
+/// Decodes the parameters of a call.
+///
+/// # Errors
+///
+/// A fault with [`error::BAD_REQUEST`] that says what is wrong.
+pub fn params<Q>(body: &RawValue) -> Result<Q, Fault>
+where
+    Q: DeserializeOwned,
+{
+    serde_json::from_str(body.get()).map_err(|e| Fault::new(error::BAD_REQUEST, &e.to_string()))
+}
+
+/// Encodes the result of a call.
+///
+/// # Errors
+///
+/// A fault with [`error::BAD_REQUEST`] if the result cannot be written as JSON.
+pub fn result<A>(answer: &A) -> Answer
+where
+    A: Serialize,
+{
+    serde_json::value::to_raw_value(answer)
+        .map_err(|e| Fault::new(error::BAD_REQUEST, &e.to_string()))
+}
+
+/// The fault for a method that nobody answers.
+pub fn unknown(method: &str) -> Fault {
+    Fault::new(error::UNKNOWN_METHOD, &format!("unknown method {method}"))
+}
+
+/// Answers calls on every connection of `listener`, for ever.
+///
+/// `handler` gets the method and its parameters; each call runs in its own
+/// task, so a slow answer holds up no other.
+pub async fn serve<H, F>(listener: TcpListener, journal: Journal, handler: H)
+where
+    H: Fn(Box<str>, Box<RawValue>) -> F + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    let handler = Rc::new(handler);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            monoio::time::sleep(std::time::Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        monoio::spawn(connection(stream, journal.clone(), Rc::clone(&handler)));
+    }
+}
+
+async fn connection<H, F>(stream: TcpStream, journal: Journal, handler: Rc<H>)
+where
+    H: Fn(Box<str>, Box<RawValue>) -> F + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    let (mut reader, writer) = stream.into_split();
+    let (out, frames) = queue::channel();
+    monoio::spawn(write_frames(writer, frames));
+    while let Ok(bytes) = frame::read(&mut reader).await {
+        let Some(call) = frame::decode_call(&bytes) else {
+            return;
+        };
+        let Call {
+            id,
+            method,
+            envelope,
+        } = call;
+        journal.observe(envelope.stamp);
+        let work = handler(method, envelope.body);
+        let out = out.clone();
+        let journal = journal.clone();
+        monoio::spawn(async move {
+            let stamped = |body| Envelope {
+                stamp: journal.stamp(),
+                body,
+            };
+            let reply = work.await.map(stamped);
+            if let Ok(frame) = frame::encode_reply(id, &reply) {
+                let _ = out.send(frame);
+            }
+        });
+    }
+}
+
+async fn write_frames(mut writer: TcpOwnedWriteHalf, mut frames: queue::Rx<Vec<u8>>) {
+    while let Some(frame) = frames.recv().await {
+        let (result, _) = writer.write_all(frame).await;
+        if result.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/tests.rs
@@ -0,0 +1,38 @@
+//! Tests of the small modules at the root of the library.
+
+use std::time::Duration;
+
+use crate::clock;
+use crate::keys::{self, Span};
+
+#[test]
+fn cut_covers_the_space_without_gap() {
+    for count in [1, 3, 16, 256, 1000, 4096] {
+        let spans = Span::cut(count);
+        assert_eq!(spans.len() as u64, count);
+        assert_eq!(spans[0].start, 0);
+        assert_eq!(spans[spans.len() - 1].end, keys::SPACE - 1);
+        assert!(spans.windows(2).all(|w| w[0].end + 1 == w[1].start));
+    }
+}
+
+#[test]
+fn a_hash_split_out_leaves_the_rest() {
+    let span = Span { start: 10, end: 20 };
+    let parts = |hash| span.without(hash);
+    assert_eq!(parts(10), vec![Span { start: 11, end: 20 }]);
+    assert_eq!(parts(20), vec![Span { start: 10, end: 19 }]);
+    assert_eq!(
+        parts(15),
+        vec![Span { start: 10, end: 14 }, Span { start: 16, end: 20 }]
+    );
+    assert_eq!(parts(21), vec![span]);
+    assert_eq!(Span::one(7).without(7), vec![]);
+}
+
+#[test]
+fn the_clock_jumps_only_forward_by_what_was_asked() {
+    let before = clock::now();
+    clock::advance(Duration::from_mins(1));
+    assert!(clock::now() >= before + Duration::from_mins(1));
+}
