Serve and call HTTP within limits; add a backend server for trials

Cause: callers, backend servers and operators speak HTTP/1.1, and the codecs of monoio-http 0.3.12 bound nothing. Seen in their code and by tests with each guard taken out: heads and chunk sizes are buffered without end; a bare line feed ends a head, and what follows up to the next blank line is lost; of two lengths, or a length beside chunks, the first one found counts; a chunk without a size counts as the last one; a header name over 64 KiB panics, which would end the process.

Ruled out: a parser of our own; the library's ServerCodec and ClientCodec, as their decoders leave no place for a check before the bytes are parsed; a cut-off read on a connection that lives on.

Change: decoders that look at the bytes and then hand them to the library's; a server with limits on bytes, time and connections, which contains panics, says why it refuses and finishes what is in flight when it stops; a client that keeps connections, takes only proved ones where asked, and encodes a request in memory so that the last look comes right before the first byte. examples/backend is a backend server that checks its lease, records what ran and misbehaves on order.

Conclusion: every case in tests/bad_input.rs ends in a clear status, and the next connection is served.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod timeline;
 pub mod timing;
 pub mod verdict;
+pub mod web;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/web/guard.rs
@@ -0,0 +1,26 @@
+//! Keeps a panic inside the task that it happened in.
+//!
+//! A panic in a spawned task would end the process. Bytes from outside reach
+//! code of libraries too, so every connection runs behind [`contain`].
+
+use std::future;
+use std::panic::{self, AssertUnwindSafe};
+use std::pin::pin;
+use std::task::Poll;
+
+/// Runs `work`; `None` if it panicked.
+pub async fn contain<F>(work: F) -> Option<F::Output>
+where
+    F: Future,
+{
+    let mut work = pin!(work);
+    future::poll_fn(|cx| {
+        let polled = panic::catch_unwind(AssertUnwindSafe(|| work.as_mut().poll(cx)));
+        match polled {
+            Ok(Poll::Pending) => Poll::Pending,
+            Ok(Poll::Ready(output)) => Poll::Ready(Some(output)),
+            Err(_) => Poll::Ready(None),
+        }
+    })
+    .await
+}
--- /dev/null
+++ b/src/web/socket.rs
@@ -0,0 +1,73 @@
+//! What the codecs give no way to do with a connection.
+
+use std::net::SocketAddr;
+use std::os::fd::RawFd;
+
+/// What the other end has done so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Open, and nothing is waiting to be read.
+    Quiet,
+    /// Bytes are waiting.
+    Readable,
+    /// Closed or broken.
+    Closed,
+}
+
+/// Looks at the connection of `fd`.
+pub fn state(fd: RawFd) -> State {
+    let mut byte = 0u8;
+    // SAFETY: the pointer is to one writable byte, and the length is one.
+    let read = unsafe {
+        libc::recv(
+            fd,
+            (&raw mut byte).cast(),
+            1,
+            libc::MSG_PEEK | libc::MSG_DONTWAIT,
+        )
+    };
+    match read {
+        0 => State::Closed,
+        1.. => State::Readable,
+        _ if would_block() => State::Quiet,
+        _ => State::Closed,
+    }
+}
+
+/// Tells a caller that waits for it to go on and send the body.
+///
+/// The socket's buffer is empty at this point; should the few bytes not fit,
+/// the caller goes on by itself after a while.
+pub(super) fn send_continue(fd: RawFd) {
+    const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+    // SAFETY: pointer and length are those of a constant slice.
+    unsafe {
+        libc::send(
+            fd,
+            CONTINUE.as_ptr().cast(),
+            CONTINUE.len(),
+            libc::MSG_DONTWAIT | libc::MSG_NOSIGNAL,
+        );
+    }
+}
+
+fn would_block() -> bool {
+    std::io::Error::last_os_error().kind() == std::io::ErrorKind::WouldBlock
+}
+
+/// The other end of a request's connection, among the request's extensions.
+///
+/// Means something only while the request is being answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    /// Address of the other end.
+    pub address: Option<SocketAddr>,
+    pub(super) fd: RawFd,
+}
+
+impl Caller {
+    /// Whether the other end has closed the connection.
+    pub fn is_gone(&self) -> bool {
+        state(self.fd) == State::Closed
+    }
+}
--- /dev/null
+++ b/src/web/tests/client.rs
@@ -0,0 +1,267 @@
+//! A client against servers that misbehave.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::net::{TcpListener, TcpStream};
+use monoio::time;
+
+use super::{LONG, echo, listen, read_until};
+use crate::clock;
+use crate::runtime;
+use crate::web::client::RECENT;
+use crate::web::{Client, Limits, Reuse, SendError, SendOptions};
+
+fn get(path: &str) -> http::Request<Bytes> {
+    let request = http::Request::builder().uri(path).header("host", "a");
+    request.body(Bytes::new()).unwrap()
+}
+
+async fn send(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    timeout: Duration,
+    reuse: Reuse,
+) -> Result<String, SendError> {
+    let options = SendOptions {
+        deadline: clock::now() + timeout,
+        reuse,
+        before_write: || true,
+    };
+    let response = client.send(address, get(path), options).await?;
+    Ok(String::from_utf8_lossy(response.body()).into_owned())
+}
+
+async fn any(client: &Client, address: SocketAddr, path: &str) -> Result<String, SendError> {
+    send(client, address, path, LONG, Reuse::Any).await
+}
+
+/// Answers each connection's first request with `answer` and keeps it open.
+async fn answer_with(listener: TcpListener, answer: &'static str) {
+    let mut open = Vec::new();
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_until(&mut stream, "\r\n\r\n").await;
+        stream
+            .write_all(answer.as_bytes().to_vec())
+            .await
+            .0
+            .unwrap();
+        if !answer.contains("until the end") {
+            open.push(stream);
+        }
+    }
+}
+
+#[test]
+fn connection_is_kept_and_used_again() {
+    runtime::run(async {
+        let (address, stop) = echo(Limits::default());
+        let client = Client::new(1 << 20);
+        for path in ["/a", "/b", "/c"] {
+            assert_eq!(
+                any(&client, address, path).await,
+                Ok(format!("GET {path} "))
+            );
+        }
+        assert_eq!((client.idle(), stop.open()), (1, 2));
+    });
+}
+
+#[test]
+fn refused_at_the_last_step_sends_nothing() {
+    runtime::run(async {
+        let (listener, address) = listen();
+        let client = Client::new(1 << 20);
+        let options = SendOptions {
+            deadline: clock::now() + LONG,
+            reuse: Reuse::Any,
+            before_write: || false,
+        };
+        let result = client.send(address, get("/"), options).await;
+        assert!(matches!(result, Err(SendError::NotSent(_))), "{result:?}");
+        drop(client);
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let (read, _) = stream.read(vec![0u8; 16]).await;
+        assert_eq!(read.unwrap(), 0);
+    });
+}
+
+#[test]
+fn last_look_comes_after_the_connection_is_made() {
+    runtime::run(async {
+        let (address, _) = echo(Limits::default());
+        let looks = Rc::new(Cell::new(0));
+        let seen = Rc::clone(&looks);
+        let options = SendOptions {
+            deadline: clock::now() + LONG,
+            reuse: Reuse::Never,
+            before_write: move || {
+                seen.set(seen.get() + 1);
+                true
+            },
+        };
+        let sent = Client::new(1 << 20).send(address, get("/"), options).await;
+        assert!(sent.is_ok());
+        assert_eq!(looks.get(), 1);
+    });
+}
+
+#[test]
+fn closed_port_and_past_deadline_are_not_sent() {
+    runtime::run(async {
+        let (listener, address) = listen();
+        let client = Client::new(1 << 20);
+        let late = send(&client, address, "/", Duration::ZERO, Reuse::Any).await;
+        assert!(matches!(late, Err(SendError::NotSent(_))), "{late:?}");
+        drop(listener);
+        let refused = any(&client, address, "/").await;
+        assert!(matches!(refused, Err(SendError::NotSent(_))), "{refused:?}");
+    });
+}
+
+#[test]
+fn connection_that_the_server_closed_is_not_used_again() {
+    runtime::run(async {
+        let (listener, address) = listen();
+        monoio::spawn(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                read_until(&mut stream, "\r\n\r\n").await;
+                let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                stream
+                    .write_all(answer.as_bytes().to_vec())
+                    .await
+                    .0
+                    .unwrap();
+            }
+        });
+        let client = Client::new(1 << 20);
+        for _ in 0..3 {
+            assert_eq!(any(&client, address, "/").await, Ok("ok".into()));
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+#[test]
+fn late_answer_meets_nobody() {
+    runtime::run(async {
+        let (listener, address) = listen();
+        let second = Rc::new(Cell::new(false));
+        let go = Rc::clone(&second);
+        monoio::spawn(async move {
+            let (mut silent, _) = listener.accept().await.unwrap();
+            read_until(&mut silent, "\r\n\r\n").await;
+            let (mut stream, _) = listener.accept().await.unwrap();
+            read_until(&mut stream, "\r\n\r\n").await;
+            go.set(true);
+            let late = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
+            let _ = silent.write_all(late.as_bytes().to_vec()).await;
+            let answer = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond";
+            stream
+                .write_all(answer.as_bytes().to_vec())
+                .await
+                .0
+                .unwrap();
+        });
+        let client = Client::new(1 << 20);
+        let short = Duration::from_millis(50);
+        let first = send(&client, address, "/first", short, Reuse::Any).await;
+        assert_eq!(first, Err(SendError::TimedOut));
+        assert_eq!(client.idle(), 0);
+        assert_eq!(any(&client, address, "/second").await, Ok("second".into()));
+        assert!(second.get());
+    });
+}
+
+#[test]
+fn connection_gone_silent_is_used_for_nothing_that_asks_for_a_proved_one() {
+    runtime::run(async {
+        let (listener, address) = listen();
+        monoio::spawn(answer_with(
+            listener,
+            "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        ));
+        let client = Client::new(1 << 20);
+        assert_eq!(any(&client, address, "/").await, Ok("ok".into()));
+        clock::advance(RECENT + Duration::from_millis(1));
+        let proved = send(&client, address, "/", LONG, Reuse::Recent).await;
+        assert_eq!(proved, Ok("ok".into()));
+        let short = Duration::from_millis(50);
+        let silent = send(&client, address, "/", short, Reuse::Any).await;
+        assert_eq!(silent, Err(SendError::TimedOut));
+        let new = send(&client, address, "/", LONG, Reuse::Never).await;
+        assert_eq!(new, Ok("ok".into()));
+    });
+}
+
+#[test]
+fn answers_of_every_length_are_read_whole() {
+    for (answer, body) in [
+        ("HTTP/1.1 200 OK\r\n\r\nuntil the end", "until the end"),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+            "abc",
+        ),
+        ("HTTP/1.1 204 No Content\r\ncontent-length: 3\r\n\r\n", ""),
+        (
+            "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx",
+            "x",
+        ),
+    ] {
+        runtime::run(async {
+            let (listener, address) = listen();
+            monoio::spawn(answer_with(listener, answer));
+            let read = any(&Client::new(1 << 20), address, "/").await;
+            assert_eq!(read, Ok(body.into()), "{answer}");
+        });
+    }
+}
+
+#[test]
+fn broken_answers_leave_the_verdict_open() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nxx",
+        "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        "nonsense\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\r\n\r\n",
+    ] {
+        runtime::run(async {
+            let (listener, address) = listen();
+            monoio::spawn(answer_with(listener, answer));
+            let client = Client::new(4096);
+            let result = any(&client, address, "/").await;
+            assert!(
+                matches!(result, Err(SendError::MayHaveRun(_))),
+                "{answer}: {result:?}"
+            );
+            assert_eq!(client.idle(), 0);
+        });
+    }
+}
+
+#[test]
+fn answer_that_breaks_off_leaves_the_verdict_open() {
+    runtime::run(async {
+        let (listener, address) = listen();
+        monoio::spawn(async move {
+            let (mut stream, _): (TcpStream, _) = listener.accept().await.unwrap();
+            read_until(&mut stream, "\r\n\r\n").await;
+            let half = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhal";
+            stream.write_all(half.to_vec()).await.0.unwrap();
+        });
+        let result = any(&Client::new(4096), address, "/").await;
+        assert!(
+            matches!(result, Err(SendError::MayHaveRun(_))),
+            "{result:?}"
+        );
+    });
+}
