Add route maps, admission and claim records

Cause: entry VMs need owners by key, limits that need no talk between them, and claims that run once through any entry VM. Ruled out: a single entry VM a span that remembers claims (entry VMs have no disk, so its loss forgets them); the backend server's own check (not every server checks).

--- /dev/null
+++ b/src/claim/desk.rs
@@ -0,0 +1,140 @@
+//! The entry VM's side of claims: records put, ended and taken back.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::messages::{Applied, Change, ClaimKey, Outcome};
+use crate::clock;
+use crate::control::peers::{Peers, SendError};
+use crate::keys;
+
+/// Wait before a change is sent again.
+const RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Wait between looks at a record that another attempt put.
+const PENDING_DELAY: Duration = Duration::from_millis(25);
+
+/// How long a change goes on being sent after its request has been answered.
+const AFTERWARDS: Duration = Duration::from_mins(1);
+
+/// A claim about to be sent.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// Identity.
+    pub key: ClaimKey,
+    /// Hash of the key that the request concerns.
+    pub hash: keys::KeyHash,
+    /// Digest of method, path and body.
+    pub digest: u64,
+    /// Random name of this attempt.
+    pub attempt: Arc<str>,
+    /// How long the record is kept.
+    pub memory: Duration,
+}
+
+/// What an attempt found.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Begun {
+    /// The record was put by this attempt, which may send the claim.
+    Mine,
+    /// The claim ran before.
+    Ended(Outcome),
+    /// Another attempt may have sent the claim, and no outcome is known.
+    Pending,
+    /// The id was used for another request.
+    Reused,
+    /// The record could not be put; nothing was sent.
+    Unrecorded,
+}
+
+/// Handle to the claim records at the control VMs.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    peers: Peers,
+}
+
+impl Desk {
+    /// A desk that reaches the records through `peers`.
+    pub fn new(peers: Peers) -> Self {
+        Self { peers }
+    }
+
+    /// Puts the record of a claim unless there is one, until `give_up`.
+    ///
+    /// Waits for the outcome while another attempt has the record. A record
+    /// whose putting stays unknown is taken back afterwards.
+    pub async fn begin(&self, claim: &Claim, give_up: Instant) -> Begun {
+        let forget_ms = clock::wall_ms().saturating_add(clock::as_ms(claim.memory));
+        let change = Change::Begin {
+            key: claim.key.clone(),
+            hash: claim.hash,
+            digest: claim.digest,
+            attempt: Arc::clone(&claim.attempt),
+            forget_ms,
+        };
+        loop {
+            match self.send(&change, give_up).await {
+                Some(Applied::Begun) => return Begun::Mine,
+                Some(Applied::Ended { outcome }) => return Begun::Ended(outcome),
+                Some(Applied::Reused) => return Begun::Reused,
+                Some(Applied::Pending { .. }) if clock::now() + PENDING_DELAY < give_up => {
+                    monoio::time::sleep(PENDING_DELAY).await;
+                }
+                Some(_) => return Begun::Pending,
+                None => {
+                    self.abort(claim);
+                    return Begun::Unrecorded;
+                }
+            }
+        }
+    }
+
+    /// Records the outcome; true once it is durable, false if that stays
+    /// unknown at `give_up`, in which case it goes on being sent.
+    pub async fn end(&self, claim: &Claim, outcome: Outcome, give_up: Instant) -> bool {
+        let change = Change::End {
+            key: claim.key.clone(),
+            attempt: Arc::clone(&claim.attempt),
+            outcome,
+        };
+        let recorded = self.send(&change, give_up).await;
+        if recorded.is_none() {
+            self.send_afterwards(change);
+        }
+        recorded == Some(Applied::Done)
+    }
+
+    /// Takes the record back, as the claim is proved not to have run.
+    ///
+    /// Runs on by itself; until it is done a resend is told `may-have-run`.
+    pub fn abort(&self, claim: &Claim) {
+        self.send_afterwards(Change::Abort {
+            key: claim.key.clone(),
+            attempt: Arc::clone(&claim.attempt),
+        });
+    }
+
+    fn send_afterwards(&self, change: Change) {
+        let desk = self.clone();
+        monoio::spawn(async move {
+            desk.send(&change, clock::now() + AFTERWARDS).await;
+        });
+    }
+
+    /// Sends a change until it was applied; every change may be repeated safely.
+    async fn send(&self, change: &Change, give_up: Instant) -> Option<Applied> {
+        loop {
+            let left = give_up.saturating_duration_since(clock::now());
+            if left.is_zero() {
+                return None;
+            }
+            match self.peers.call("claim.change", change, left).await {
+                Ok(applied) => return Some(applied),
+                Err(SendError::Refused(_)) => return None,
+                Err(SendError::NotSent | SendError::Unsure) => {
+                    monoio::time::sleep(RETRY_DELAY.min(left)).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/claim/store.rs
@@ -0,0 +1,145 @@
+//! The claim records, a part of the replicated state.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::messages::{Applied, Change, ClaimKey, Outcome};
+use crate::keys;
+
+/// Record of one claim.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Record {
+    hash: keys::KeyHash,
+    digest: u64,
+    attempt: Arc<str>,
+    forget_ms: u64,
+    outcome: Option<Outcome>,
+}
+
+/// All claim records.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Vec<(ClaimKey, Record)>", into = "Vec<(ClaimKey, Record)>")]
+pub struct Store {
+    records: BTreeMap<ClaimKey, Record>,
+    by_time: BTreeSet<(u64, ClaimKey)>,
+}
+
+impl From<Vec<(ClaimKey, Record)>> for Store {
+    fn from(records: Vec<(ClaimKey, Record)>) -> Self {
+        let by_time = records
+            .iter()
+            .map(|(key, record)| (record.forget_ms, key.clone()))
+            .collect();
+        Self {
+            records: records.into_iter().collect(),
+            by_time,
+        }
+    }
+}
+
+impl From<Store> for Vec<(ClaimKey, Record)> {
+    fn from(store: Store) -> Self {
+        store.records.into_iter().collect()
+    }
+}
+
+impl Store {
+    /// Carries out a change; the same on every replica.
+    pub fn apply(&mut self, change: Change) -> Applied {
+        match change {
+            Change::Begin {
+                key,
+                hash,
+                digest,
+                attempt,
+                forget_ms,
+            } => self.begin(
+                key,
+                Record {
+                    hash,
+                    digest,
+                    attempt,
+                    forget_ms,
+                    outcome: None,
+                },
+            ),
+            Change::End {
+                key,
+                attempt,
+                outcome,
+            } => self.end(&key, &attempt, outcome),
+            Change::Abort { key, attempt } => self.abort(&key, &attempt),
+            Change::Forget { now_ms } => self.forget(now_ms),
+        }
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Whether a record's time is over at `now_ms`.
+    pub fn has_overdue(&self, now_ms: u64) -> bool {
+        self.by_time.first().is_some_and(|(at, _)| *at <= now_ms)
+    }
+
+    fn begin(&mut self, key: ClaimKey, record: Record) -> Applied {
+        match self.records.get(&key) {
+            Some(known) if known.digest != record.digest => Applied::Reused,
+            Some(Record {
+                outcome: Some(outcome),
+                ..
+            }) => Applied::Ended {
+                outcome: outcome.clone(),
+            },
+            Some(known) if known.attempt != record.attempt => Applied::Pending {
+                attempt: Arc::clone(&known.attempt),
+            },
+            Some(_) => Applied::Begun,
+            None => {
+                self.by_time.insert((record.forget_ms, key.clone()));
+                self.records.insert(key, record);
+                Applied::Begun
+            }
+        }
+    }
+
+    fn end(&mut self, key: &ClaimKey, attempt: &str, outcome: Outcome) -> Applied {
+        match self.records.get_mut(key) {
+            Some(record) if *record.attempt == *attempt => {
+                record.outcome.get_or_insert(outcome);
+                Applied::Done
+            }
+            _ => Applied::Absent,
+        }
+    }
+
+    fn abort(&mut self, key: &ClaimKey, attempt: &str) -> Applied {
+        match self.records.get(key) {
+            Some(record) if *record.attempt == *attempt && record.outcome.is_none() => {
+                self.by_time.remove(&(record.forget_ms, key.clone()));
+                self.records.remove(key);
+                Applied::Done
+            }
+            _ => Applied::Absent,
+        }
+    }
+
+    fn forget(&mut self, now_ms: u64) -> Applied {
+        while let Some((at, key)) = self.by_time.first().cloned() {
+            if at > now_ms {
+                break;
+            }
+            self.by_time.pop_first();
+            self.records.remove(&key);
+        }
+        Applied::Done
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! A router for servers that own their keys exclusively.
 
+pub mod admit;
 pub mod claim;
 pub mod clock;
 pub mod control;
--- /dev/null
+++ b/src/route/map.rs
@@ -0,0 +1,96 @@
+//! The map of one service in one zone, as an entry VM holds it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::messages::{PullAnswer, Route, ServerInfo};
+use crate::ids;
+use crate::keys;
+use crate::timing;
+
+/// Routes of one service in one zone, with the time until which they may be used.
+#[derive(Debug, Default)]
+pub struct Map {
+    epoch: ids::Epoch,
+    version: ids::MapVersion,
+    answered: u64,
+    until: Option<Instant>,
+    routes: BTreeMap<keys::KeyHash, Route>,
+    servers: HashMap<ids::ServerName, Arc<ServerInfo>>,
+}
+
+impl Map {
+    /// Epoch of the carrier that gave this map, 0 for none.
+    pub fn epoch(&self) -> ids::Epoch {
+        self.epoch
+    }
+
+    /// Version within the epoch.
+    pub fn version(&self) -> ids::MapVersion {
+        self.version
+    }
+
+    /// Number of the last answer taken in.
+    pub fn answered(&self) -> u64 {
+        self.answered
+    }
+
+    /// When this map runs out; `None` before the first answer.
+    pub fn until(&self) -> Option<Instant> {
+        self.until
+    }
+
+    /// All routes, in order of their spans.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values()
+    }
+
+    /// All servers, in no order.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerInfo> {
+        self.servers.values().map(Arc::as_ref)
+    }
+
+    /// The route of a hash, if its span is in this map.
+    pub fn route(&self, hash: keys::KeyHash) -> Option<&Route> {
+        let (_, route) = self.routes.range(..=hash).next_back()?;
+        route.span.contains(hash).then_some(route)
+    }
+
+    /// The owner of a route.
+    pub fn owner(&self, route: &Route) -> Option<&Arc<ServerInfo>> {
+        self.servers.get(route.server.as_ref()?)
+    }
+
+    /// Takes in an answer to a question sent at `sent`; false if it is from an older epoch.
+    pub fn take_in(&mut self, answer: PullAnswer, sent: Instant) -> bool {
+        if answer.epoch < self.epoch || (answer.epoch > self.epoch && !answer.full) {
+            return false;
+        }
+        if answer.full {
+            self.routes.clear();
+            self.servers.clear();
+        }
+        for span in &answer.gone {
+            if self
+                .routes
+                .get(&span.start)
+                .is_some_and(|r| r.span == *span)
+            {
+                self.routes.remove(&span.start);
+            }
+        }
+        for route in answer.routes {
+            self.routes.insert(route.span.start, route);
+        }
+        for server in answer.servers {
+            self.servers
+                .insert(Arc::clone(&server.server), Arc::new(server));
+        }
+        self.epoch = answer.epoch;
+        self.version = answer.version;
+        self.answered = answer.number;
+        self.until = Some(sent + timing::ROUTE_LEASE);
+        true
+    }
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -6,6 +6,13 @@
 //! the question was sent, so a carrier knows when every older map has run out.
 //! A voter's question is also its vote for the carrier.
 
+pub mod load;
+pub mod map;
 pub mod messages;
+pub mod pull;
+pub mod table;
+#[cfg(test)]
+mod tests;
 
 pub use messages::{PullAnswer, PullRequest, Route, ServerInfo};
+pub use table::{Found, Owner, Table};
--- /dev/null
+++ b/src/route/tests.rs
@@ -0,0 +1,138 @@
+//! Route maps and the table over them.
+
+use std::time::{Duration, Instant};
+
+use super::messages::{PullAnswer, Route, ServerInfo};
+use super::table::{Found, Table};
+use crate::clock;
+use crate::keys::{self, Span};
+use crate::timing;
+
+fn server(name: &str) -> ServerInfo {
+    ServerInfo {
+        server: name.into(),
+        incarnation: "i1".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        slots: 6,
+        checks: true,
+        warm_percent: 100,
+    }
+}
+
+fn full(epoch: u64, routes: &[(Span, u64, Option<&str>)]) -> PullAnswer {
+    PullAnswer {
+        number: 1,
+        epoch,
+        version: 1,
+        full: true,
+        gone: vec![],
+        routes: routes
+            .iter()
+            .map(|&(span, fence, owner)| Route {
+                span,
+                fence,
+                server: owner.map(Into::into),
+            })
+            .collect(),
+        servers: vec![server("a"), server("b")],
+    }
+}
+
+fn table() -> Table {
+    let table = Table::default();
+    table.expect(&"s".into(), &"galway".into());
+    table.expect(&"s".into(), &"cork".into());
+    table
+}
+
+fn owner(table: &Table, hash: u64, now: Instant) -> Option<(String, u64)> {
+    match table.find("s", hash, now) {
+        Found::Owner(owner) => Some((owner.server.server.to_string(), owner.fence)),
+        Found::Waiting | Found::Unknown => None,
+    }
+}
+
+#[test]
+fn a_map_runs_out_from_the_moment_of_the_question() {
+    let table = table();
+    let sent = clock::now();
+    assert!(table.take_in("s", "galway", full(1, &[(Span::ALL, 7, Some("a"))]), sent));
+    let almost = timing::ROUTE_LEASE.saturating_sub(Duration::from_millis(1));
+    assert!(owner(&table, 5, sent + almost).is_some());
+    assert!(owner(&table, 5, sent + timing::ROUTE_LEASE).is_none());
+}
+
+#[test]
+fn an_older_epoch_never_comes_back() {
+    let table = table();
+    let now = clock::now();
+    assert!(table.take_in("s", "galway", full(2, &[(Span::ALL, 20, Some("b"))]), now));
+    assert!(!table.take_in("s", "galway", full(1, &[(Span::ALL, 10, Some("a"))]), now));
+    assert_eq!(owner(&table, 5, now), Some(("b".into(), 20)));
+}
+
+#[test]
+fn a_delta_takes_out_before_it_puts_in() {
+    let table = table();
+    let now = clock::now();
+    let whole = Span { start: 0, end: 99 };
+    table.take_in("s", "galway", full(1, &[(whole, 3, Some("a"))]), now);
+    let hot = Span::one(40);
+    let mut delta = full(1, &[(hot, 4, Some("b"))]);
+    delta.full = false;
+    delta.gone = vec![whole];
+    delta
+        .routes
+        .extend(whole.without(40).into_iter().map(|span| Route {
+            span,
+            fence: 3,
+            server: Some("a".into()),
+        }));
+    assert!(table.take_in("s", "galway", delta, now));
+    assert_eq!(owner(&table, 40, now), Some(("b".into(), 4)));
+    assert_eq!(owner(&table, 41, now), Some(("a".into(), 3)));
+    assert_eq!(owner(&table, 0, now), Some(("a".into(), 3)));
+    assert_eq!(owner(&table, 100, now), None);
+}
+
+#[test]
+fn of_two_zones_the_higher_fence_counts() {
+    let table = table();
+    let now = clock::now();
+    table.take_in("s", "galway", full(1, &[(Span::ALL, 3, Some("a"))]), now);
+    table.take_in("s", "cork", full(2, &[(Span::ALL, 9, Some("b"))]), now);
+    assert_eq!(owner(&table, 1, now), Some(("b".into(), 9)));
+}
+
+#[test]
+fn a_route_without_owner_is_awaited() {
+    let table = table();
+    let now = clock::now();
+    table.take_in("s", "galway", full(1, &[(Span::ALL, 3, None)]), now);
+    assert!(matches!(table.find("s", 1, now), Found::Waiting));
+    assert!(matches!(table.find("t", 1, now), Found::Unknown));
+}
+
+#[test]
+fn the_hottest_hashes_are_reported() {
+    let table = table();
+    let now = clock::now();
+    table.take_in("s", "galway", full(1, &[(Span::ALL, 3, Some("a"))]), now);
+    let Found::Owner(found) = table.find("s", 1, now) else {
+        panic!("no owner");
+    };
+    for i in 0..300u64 {
+        let hash = if i % 3 == 0 {
+            77
+        } else {
+            keys::hash(&i.to_string())
+        };
+        table.note("s", &found, hash);
+    }
+    let loads = table.take_loads("s", "galway");
+    assert_eq!(loads.len(), 1);
+    assert_eq!(loads[0].requests, 300);
+    let hottest = loads[0].hottest.iter().max_by_key(|(_, n)| *n).unwrap();
+    assert_eq!(hottest.0, 77);
+    assert!(table.take_loads("s", "galway").is_empty());
+}
