--- /dev/null
+++ b/scripts/quickstart.sh
@@ -0,0 +1,109 @@
+#!/usr/bin/env bash
+# Builds agateyoke, starts a small system on loopback, and serves requests.
+#
+#   scripts/quickstart.sh          run, print each answer, stop everything
+#   scripts/quickstart.sh --keep   leave it running and print what to try next
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+keep=false
+case "${1:-}" in
+    "") ;;
+    --keep) keep=true ;;
+    *) echo "usage: scripts/quickstart.sh [--keep]" >&2; exit 2 ;;
+esac
+
+cargo build --locked --release --bins --examples
+bin=$PWD/target/release
+run=$PWD/run
+control=127.0.0.1:7111,127.0.0.1:7112,127.0.0.1:7113
+pids=()
+
+stop_all() {
+    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+}
+trap stop_all EXIT
+
+start() { # name command...
+    local name=$1; shift
+    "$@" >"$run/$name.out" 2>&1 &
+    pids+=($!)
+    echo $! >"$run/$name.pid"
+}
+
+rm -rf "$run"
+mkdir -p "$run"
+for i in 1 2 3; do
+    start "control-$i" "$bin/agateyoke-control" "examples/settings/control-$i.json"
+done
+for i in 1 2 3 4; do
+    start "entry-$i" "$bin/agateyoke-entry" "examples/settings/entry-$i.json"
+done
+port=7301
+for zone in galway cork; do
+    case $zone in galway) entries=127.0.0.1:7211,127.0.0.1:7212 ;; *) entries=127.0.0.1:7213,127.0.0.1:7214 ;; esac
+    for n in 1 2; do
+        start "kiosk-core-$zone-$n" "$bin/examples/backend" --name "kiosk-core-$zone-$n" \
+            --service kiosk-core --zone "$zone" --listen "127.0.0.1:$port" \
+            --entry "$entries" --slots 6 --record "$run/kiosk-core-$zone-$n.jsonl"
+        port=$((port + 1))
+    done
+done
+
+agateyoke() { "$bin/agateyoke" --control "$control" "$@"; }
+
+echo "== the document of kiosk-core"
+for _ in $(seq 100); do
+    if agateyoke apply examples/documents/kiosk-core.json --base 0 --change quickstart-1 --author quickstart; then
+        applied=true
+        break
+    fi
+    sleep 0.1
+done
+[ "${applied:-false}" = true ] || { echo "the document was not accepted; see $run" >&2; exit 1; }
+
+ask() { # entry-port method path
+    curl -sS --max-time 5 -D - -o "$run/body" -X "$2" -H 'agateyoke-service: kiosk-core' \
+        ${4:+-H "agateyoke-claim: $4"} "http://127.0.0.1:$1$3" >"$run/head" || return 1
+    local status
+    status=$(awk 'NR==1{print $2}' "$run/head")
+    printf '%-4s %-28s by entry :%s -> %s' "$2" "$3" "$1" "$status"
+    tr -d '\r' <"$run/head" | awk -F': ' 'tolower($1) ~ /^agateyoke-(server|fence|verdict|replay)$/ {printf "  %s=%s", substr(tolower($1), 11), $2}'
+    echo
+    [ "$status" -lt 400 ]
+}
+
+echo "== waiting until every key has an owner"
+for _ in $(seq 100); do
+    ask 7201 GET /stock/helmet-1 >/dev/null 2>&1 && ask 7203 GET /stock/helmet-1 >/dev/null 2>&1 && break
+    sleep 0.1
+done
+
+echo "== lookups and a locker release through entry VMs of both zones"
+for entry in 7201 7203; do
+    for key in helmet-1 helmet-2 helmet-3; do ask "$entry" GET "/stock/$key"; done
+done
+ask 7201 POST /lockers/L-17/release quickstart-claim-1
+echo "== the same release again through the other zone: it does not run twice"
+ask 7203 POST /lockers/L-17/release quickstart-claim-1
+echo "== status"
+agateyoke status
+
+if $keep; then
+    trap - EXIT
+    cat <<TEXT
+
+Left running; process ids and outputs are under run/.
+  callers:   127.0.0.1:7201 7202 (galway)  127.0.0.1:7203 7204 (cork)
+  operators: control VMs 127.0.0.1:7111 7112 7113, entry VMs 127.0.0.1:7231 to 7234
+Try:
+  export AGATEYOKE_CONTROL=$control
+  curl -i -H 'agateyoke-service: kiosk-core' http://127.0.0.1:7202/stock/helmet-9
+  kill -9 \$(cat run/kiosk-core-galway-1.pid)
+  target/release/agateyoke status
+  target/release/agateyoke timeline
+Stop it all:
+  for p in run/*.pid; do kill \$(cat \$p); done
+TEXT
+fi
