--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,14 @@
+//! What the tests with real processes share.
+#![expect(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a test that cannot go on ends here"
+)]
+#![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(unreachable_pub, reason = "each test file is a crate of its own")]
+
+pub mod fleet;
+pub mod relay;
+
+pub use fleet::{Fleet, Reply};
+pub use relay::Relay;
--- /dev/null
+++ b/tests/support/relay.rs
@@ -0,0 +1,125 @@
+//! A relay between two ends that can be cut, silenced or delayed.
+//!
+//! Runs in threads of the test, so that it keeps no runtime busy.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const CHUNK_BYTES: usize = 16 * 1024;
+
+#[derive(Default)]
+struct State {
+    refuse: AtomicBool,
+    generation: AtomicU64,
+    silent_below: AtomicU64,
+    delay_ms: AtomicU64,
+    open: Mutex<Vec<TcpStream>>,
+}
+
+/// A relay from its own address to a target.
+#[derive(Clone)]
+pub struct Relay {
+    address: SocketAddr,
+    state: Arc<State>,
+}
+
+impl Relay {
+    /// Listens on `address` and passes every connection on to `target`.
+    pub fn start(address: SocketAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
+        let relay = Self {
+            address: listener.local_addr().unwrap(),
+            state: Arc::default(),
+        };
+        let state = Arc::clone(&relay.state);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                accept(stream, target, &state);
+            }
+        });
+        relay
+    }
+
+    /// Address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes every connection and refuses new ones.
+    pub fn cut(&self) {
+        self.state.refuse.store(true, Ordering::SeqCst);
+        for stream in self.state.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Lets new connections through again, and ends silence.
+    pub fn heal(&self) {
+        self.state.refuse.store(false, Ordering::SeqCst);
+        self.state.silent_below.store(0, Ordering::SeqCst);
+    }
+
+    /// Open connections go silent for good; new ones work.
+    pub fn silence(&self) {
+        let next = self.state.generation.load(Ordering::SeqCst);
+        self.state.silent_below.store(next, Ordering::SeqCst);
+    }
+
+    /// Every connection goes silent, later ones as well, until healed.
+    pub fn blackhole(&self) {
+        self.state.silent_below.store(u64::MAX, Ordering::SeqCst);
+    }
+
+    /// Holds every chunk back for so long.
+    pub fn delay(&self, by: Duration) {
+        let ms = u64::try_from(by.as_millis()).unwrap();
+        self.state.delay_ms.store(ms, Ordering::SeqCst);
+    }
+}
+
+fn accept(near: TcpStream, target: SocketAddr, state: &Arc<State>) {
+    if state.refuse.load(Ordering::SeqCst) {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(target) else {
+        return;
+    };
+    let number = state.generation.fetch_add(1, Ordering::SeqCst);
+    for stream in [&near, &far] {
+        let _ = stream.set_nodelay(true);
+        state.open.lock().unwrap().extend(stream.try_clone());
+    }
+    for (from, to) in [(near.try_clone(), far.try_clone()), (Ok(far), Ok(near))] {
+        let (Ok(from), Ok(to)) = (from, to) else { return };
+        let state = Arc::clone(state);
+        thread::spawn(move || pass(from, to, number, &state));
+    }
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream, number: u64, state: &State) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while let Ok(count) = from.read(&mut chunk) {
+        if count == 0 {
+            break;
+        }
+        let delay = state.delay_ms.load(Ordering::SeqCst);
+        if delay > 0 {
+            thread::sleep(Duration::from_millis(delay));
+        }
+        if number < state.silent_below.load(Ordering::SeqCst) {
+            continue;
+        }
+        let Some(bytes) = chunk.get(..count) else { break };
+        if to.write_all(bytes).is_err() {
+            break;
+        }
+    }
+    if number >= state.silent_below.load(Ordering::SeqCst) {
+        let _ = to.shutdown(Shutdown::Both);
+        let _ = from.shutdown(Shutdown::Both);
+    }
+}
