Check, match, store and compare documents; read settings; name the operators' API

Cause: the daemons need documents that are known to be right, the route and key of each request, a replicated store that racing and resent changes can't spoil, and their own settings.

Ruled out: deserializing straight into the model, as it stops at the first fault; remembering only accepted change ids, as a change refused because its base was still to come was accepted when resent later (found by the property test), and an id could stand for two changes; taking the last of two values of a key in a query, as the server may take the first and so two keys be owned.

Change: `fields` walks JSON and reports all faults with path, found, allowed and the nearest name, also names given twice; documents and settings share it. `control::api` holds the requests and answers of the operator port. Examples: four documents, settings of 3 control and 4 entry VMs.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control daemon: the replicated state and those who ask for it.
 
+pub mod api;
 pub mod command;
 
 pub use command::{Applied, Command};
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -4,6 +4,17 @@
 //! changing it. A change names the version it was made from, so that of two
 //! racing changes one is refused, and carries an id, so that it can be resent.
 
+pub mod check;
+pub mod diff;
+pub mod matcher;
 pub mod model;
+pub mod pattern;
+pub mod store;
 
+#[cfg(test)]
+mod tests;
+
+pub use check::check;
+pub use matcher::{MatchError, Matched, Matcher};
 pub use model::{Document, Limits, Placement, Repeat, Route};
+pub use store::Store;
--- /dev/null
+++ b/src/settings/control.rs
@@ -0,0 +1,52 @@
+//! Settings of a control VM.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::logging::{self, Logging};
+use super::{Member, SettingsError};
+use crate::fields::{Fields, Report};
+use crate::ids;
+
+/// Settings of a control VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this VM, unique among all VMs.
+    pub vm: ids::VmName,
+    /// Availability zone.
+    pub zone: ids::ZoneName,
+    /// Address for calls between processes.
+    pub peer: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    /// Folder of the data that must last; a relative one counts from the working folder.
+    pub data: PathBuf,
+    /// The control VMs that the replicated log starts with.
+    pub members: Vec<Member>,
+    /// What is logged, and where.
+    #[serde(default)]
+    pub log: Logging,
+}
+
+/// Loads the settings of a control VM.
+pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+    super::load(path, check)
+}
+
+pub(super) fn check(report: &Report, value: &Value) {
+    let known = ["vm", "zone", "peer", "operator", "data", "members", "log"];
+    let Some(fields) = Fields::new(report, "", value, &known) else {
+        return;
+    };
+    super::check_name(&fields, "vm");
+    super::check_name(&fields, "zone");
+    super::check_address(&fields, "peer");
+    super::check_address(&fields, "operator");
+    fields.text("data", "the path of a folder", |text| !text.is_empty());
+    super::check_members(report, &fields, "members");
+    logging::check(report, &fields);
+}
--- /dev/null
+++ b/src/settings/logging.rs
@@ -0,0 +1,129 @@
+//! The log of a daemon: one line of key=value pairs for each event.
+
+use std::fmt;
+use std::io;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use log::LevelFilter;
+use log4rs::append::Append;
+use log4rs::append::console::ConsoleAppender;
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::pattern::PatternEncoder;
+use serde::{Deserialize, Serialize};
+
+use crate::fields::{Fields, Report};
+
+/// One line for each event; the message brings its own pairs.
+const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} {m}{n}";
+
+const APPENDER: &str = "daemon";
+
+const LEVELS: [&str; 5] = ["off", "error", "warn", "info", "debug"];
+
+/// What is logged, and where.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Logging {
+    /// Least level that is logged.
+    pub level: Level,
+    /// File that lines are added to; standard output if there is none.
+    pub file: Option<PathBuf>,
+}
+
+/// Least level that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Nothing.
+    Off,
+    /// Errors.
+    Error,
+    /// Warnings as well.
+    Warn,
+    /// The time line as well.
+    #[default]
+    Info,
+    /// Everything.
+    Debug,
+}
+
+/// Why the log can't be set up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LoggingError {
+    /// The file can't be opened.
+    File {
+        /// Path of the file.
+        file: Arc<str>,
+        /// What the operating system says.
+        cause: Arc<str>,
+    },
+    /// The log of this process is set up already.
+    Twice,
+}
+
+impl fmt::Display for LoggingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::File { file, cause } => write!(f, "{file}: can't be opened: {cause}"),
+            Self::Twice => f.write_str("the log is set up already"),
+        }
+    }
+}
+
+/// Sets up the log of this process.
+pub fn start(logging: &Logging) -> Result<(), LoggingError> {
+    let appender = appender(logging).map_err(|e| LoggingError::File {
+        file: logging
+            .file
+            .as_ref()
+            .map_or("stdout".into(), |f| f.display().to_string().into()),
+        cause: e.to_string().into(),
+    })?;
+    let root = Root::builder()
+        .appender(APPENDER)
+        .build(logging.level.filter());
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, appender))
+        .build(root)
+        .map_err(|_| LoggingError::Twice)?;
+    log4rs::init_config(config)
+        .map(drop)
+        .map_err(|_| LoggingError::Twice)
+}
+
+impl Level {
+    const fn filter(self) -> LevelFilter {
+        match self {
+            Self::Off => LevelFilter::Off,
+            Self::Error => LevelFilter::Error,
+            Self::Warn => LevelFilter::Warn,
+            Self::Info => LevelFilter::Info,
+            Self::Debug => LevelFilter::Debug,
+        }
+    }
+}
+
+pub(super) fn check(report: &Report, fields: &Fields<'_>) {
+    let Some(value) = fields.optional("log") else {
+        return;
+    };
+    let Some(log) = Fields::new(report, "log", value, &["level", "file"]) else {
+        return;
+    };
+    if log.optional("level").is_some() {
+        log.word("level", &LEVELS);
+    }
+    if log.optional("file").is_some() {
+        log.text("file", "the path of a file", |text| !text.is_empty());
+    }
+}
+
+fn appender(logging: &Logging) -> io::Result<Box<dyn Append>> {
+    let encoder = Box::new(PatternEncoder::new(PATTERN));
+    Ok(match &logging.file {
+        Some(file) => Box::new(FileAppender::builder().encoder(encoder).build(file)?),
+        None => Box::new(ConsoleAppender::builder().encoder(encoder).build()),
+    })
+}
--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,87 @@
+//! Tests of settings.
+
+use std::fs;
+use std::path::Path;
+
+use super::logging::Level;
+use super::{control, entry};
+
+fn example(name: &str) -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("examples/settings")
+        .join(name)
+}
+
+/// The error line for a changed example, without the folder.
+fn line_for(name: &str, from: &str, to: &str) -> String {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join(name);
+    let text = fs::read_to_string(example(name)).unwrap();
+    assert!(text.contains(from), "{from}");
+    fs::write(&file, text.replace(from, to)).unwrap();
+    let error = if name.starts_with("entry") {
+        entry::load(&file).unwrap_err()
+    } else {
+        control::load(&file).unwrap_err()
+    };
+    let folder = format!("{}/", folder.path().display());
+    error.to_string().replace(&folder, "")
+}
+
+#[test]
+fn examples_load_and_agree() {
+    let mut addresses = Vec::new();
+    for i in 1..=3 {
+        let settings = control::load(&example(&format!("control-{i}.json"))).unwrap();
+        let own = settings.members.iter().find(|m| m.vm == settings.vm);
+        assert_eq!(own.unwrap().peer, settings.peer);
+        addresses.extend([settings.peer, settings.operator]);
+    }
+    for i in 1..=4 {
+        let settings = entry::load(&example(&format!("entry-{i}.json"))).unwrap();
+        assert_eq!(settings.log.level, Level::Info);
+        addresses.extend([settings.callers, settings.announce, settings.peer]);
+        addresses.push(settings.operator);
+    }
+    let all = addresses.len();
+    addresses.sort_unstable();
+    addresses.dedup();
+    assert_eq!(addresses.len(), all);
+}
+
+#[test]
+fn everything_wrong_is_said_in_one_line() {
+    let lines = [
+        line_for("entry-1.json", "127.0.0.1:7201", "foo"),
+        line_for("entry-1.json", "\"callers\"", "\"caller\""),
+        line_for("entry-1.json", "\"info\"", "\"inf\", \"file\": 7"),
+        line_for(
+            "entry-1.json",
+            "\"vm\": \"entry-1\"",
+            "\"vm\": \"\", \"vm\": \"a b\"",
+        ),
+        line_for(
+            "entry-1.json",
+            "\"zone\": \"galway\"",
+            "\"zone\" \"galway\"",
+        ),
+        line_for("control-1.json", "control-2", "control-1"),
+        line_for("control-1.json", "\"data\": \"run/control-1\",", ""),
+        line_for(
+            "control-1.json",
+            "127.0.0.1:7103\" }",
+            "127.0.0.1\", \"port\": 7103 }",
+        ),
+    ];
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn a_missing_file_is_named() {
+    let error = entry::load(Path::new("no/such/entry.json")).unwrap_err();
+    let line = error.to_string();
+    assert!(
+        line.starts_with("no/such/entry.json: can't be read: "),
+        "{line}"
+    );
+}
