Delegate: replicated state, the leader's decisions, views, rights and bars

Cause: nothing recorded which entry VM grants in a zone or how it is replaced. Ruled out: one prior carrier for each delegation, since a second replacement right after the first would wait out only a carrier that never acted; a list is kept until the carrier reports that it acts. Ruled out: counting any report of released spans, as one sent before the question may arrive after the carrier has granted them again; renewals are numbered. Change: Store with guarded changes, Office with decisions on carriers, voters and zones, Desk for control.watch and delegate.renew, View, Watch, Right, Renewals, BarDesk.

--- /dev/null
+++ b/src/delegate/bar.rs
@@ -0,0 +1,102 @@
+//! The voter's side: which epochs this VM still votes for.
+//!
+//! A new carrier bars the voters of the one before it. From then on they vote
+//! for no lower epoch, and say when they last did. A VM that has just started
+//! votes for nobody until the leader told it the present epoch.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::appoint::Key;
+use super::messages::{BarAnswer, BarRequest};
+use super::view::View;
+use crate::clock;
+use crate::ids;
+
+/// Epochs whose last vote is remembered, for each service and zone.
+const VOTES_KEPT: usize = 8;
+
+/// What this VM promised and voted.
+#[derive(Debug)]
+pub struct BarDesk {
+    started: Instant,
+    ballots: RefCell<BTreeMap<Key, Ballot>>,
+}
+
+#[derive(Debug, Default)]
+struct Ballot {
+    /// No lower epoch gets a vote any more.
+    promised: ids::Epoch,
+    /// Last vote for each epoch.
+    votes: BTreeMap<ids::Epoch, Instant>,
+    /// Epoch under which this VM itself is the carrier.
+    carries: Option<ids::Epoch>,
+}
+
+impl BarDesk {
+    /// The desk of a process that started then and has not voted.
+    pub fn new(started: Instant) -> Self {
+        Self {
+            started,
+            ballots: RefCell::default(),
+        }
+    }
+
+    /// Answers a new carrier, method `delegate.bar`.
+    pub fn bar(&self, now: Instant, request: &BarRequest) -> BarAnswer {
+        self.ballot(&request.service, &request.zone, |ballot| {
+            ballot.promised = ballot.promised.max(request.epoch);
+            let carried = ballot.carries.filter(|e| *e < request.epoch).map(|_| now);
+            let voted = ballot.votes.range(..request.epoch).map(|(_, at)| *at).max();
+            let last = carried.or(voted);
+            BarAnswer {
+                voted_ms: last.map(|at| clock::as_ms(now.saturating_duration_since(at))),
+                running_ms: clock::as_ms(now.saturating_duration_since(self.started)),
+            }
+        })
+    }
+
+    /// Whether this VM may vote for that epoch now.
+    pub fn may_vote(&self, view: &View, service: &str, zone: &str, epoch: ids::Epoch) -> bool {
+        let current = view.delegation(service, zone).map(|d| d.epoch);
+        let known = current.is_some_and(|c| c <= epoch);
+        known && !self.barred(service, zone, epoch)
+    }
+
+    /// Whether this VM promised to vote for a higher epoch only.
+    pub fn barred(&self, service: &str, zone: &str, epoch: ids::Epoch) -> bool {
+        let ballots = self.ballots.borrow();
+        let ballot = ballots.get(&(Arc::from(service), Arc::from(zone)));
+        ballot.is_some_and(|b| b.promised > epoch)
+    }
+
+    /// Notes a vote, before it is sent.
+    pub fn voted(&self, service: &str, zone: &str, epoch: ids::Epoch, at: Instant) {
+        self.ballot(service, zone, |ballot| {
+            ballot.promised = ballot.promised.max(epoch);
+            ballot.votes.insert(epoch, at);
+            while ballot.votes.len() > VOTES_KEPT {
+                ballot.votes.pop_first();
+            }
+        });
+    }
+
+    /// Notes under which epoch this VM is the carrier itself, as its own vote is always fresh.
+    pub fn carries(&self, service: &str, zone: &str, epoch: Option<ids::Epoch>) {
+        self.ballot(service, zone, |ballot| ballot.carries = epoch);
+    }
+
+    fn ballot<F, T>(&self, service: &str, zone: &str, work: F) -> T
+    where
+        F: FnOnce(&mut Ballot) -> T,
+    {
+        let mut ballots = self.ballots.borrow_mut();
+        work(
+            ballots
+                .entry((Arc::from(service), Arc::from(zone)))
+                .or_default(),
+        )
+    }
+}
--- a/src/delegate/messages.rs
+++ b/src/delegate/messages.rs
@@ -42,11 +42,11 @@
     pub term: Duration,
     /// Spans delegated, in order, none overlapping.
     pub spans: Vec<keys::Span>,
-    /// The carrier before this one, if another process has to be waited out.
-    pub prior: Option<Prior>,
+    /// Carriers before this one that the carrier has not yet reported to have waited out.
+    pub prior: Vec<Prior>,
 }
 
-/// A carrier that was replaced.
+/// A carrier that was replaced, or the same one with other voters.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Prior {
     /// Its epoch.
@@ -57,6 +57,9 @@
     pub voters: Vec<ids::VmName>,
     /// Whether the control VMs had a vote.
     pub tiebreak: bool,
+    /// How long it could act without the control VMs.
+    #[serde(rename = "term_ms", with = "clock::millis")]
+    pub term: Duration,
     /// Whether it gave up the duty itself and acts no more.
     pub resigned: bool,
 }
@@ -114,6 +117,20 @@
     pub delegations: Vec<Delegation>,
     /// Entry VMs changed after `have`.
     pub entries: Vec<EntryVm>,
+    /// Drains changed after `have`.
+    #[serde(default)]
+    pub drains: Vec<Drain>,
+}
+
+/// Whether an operator drains a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// Service.
+    pub service: ids::ServiceName,
+    /// Backend server.
+    pub server: ids::ServerName,
+    /// Whether it is to leave.
+    pub on: bool,
 }
 
 /// A document with its version.
@@ -132,8 +149,12 @@
 pub struct RenewRequest {
     /// The carrier.
     pub vm: ids::VmName,
+    /// Number of this renewal, higher than that of every earlier one of this process.
+    pub number: u64,
     /// Duties to renew.
     pub duties: Vec<DutyReport>,
+    /// Epochs under which the carrier acts, having waited out every carrier before it.
+    pub acting: Vec<ids::Epoch>,
 }
 
 /// State of one duty.
--- a/src/delegate/mod.rs
+++ b/src/delegate/mod.rs
@@ -11,6 +11,24 @@
 //! is even. Thus a zone that is cut off keeps its carrier for the term, and a
 //! carrier that is lost is replaced without waiting for the term.
 
+pub mod appoint;
+mod balance;
+pub mod bar;
+mod choose;
+pub mod desk;
+mod known;
+pub mod leader;
 pub mod messages;
+pub mod renew;
+pub mod right;
+pub mod store;
+#[cfg(test)]
+mod tests;
+pub mod view;
+pub mod watch;
 
+pub use appoint::Office;
 pub use messages::{Delegation, fence};
+pub use right::Right;
+pub use store::Store;
+pub use view::View;
--- /dev/null
+++ b/src/delegate/tests/fixture.rs
@@ -0,0 +1,149 @@
+//! Small values that the tests share.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::delegate::appoint::{Described, Office};
+use crate::delegate::messages::{DutyReport, EntryVm, Heard, RenewRequest, WatchRequest};
+use crate::delegate::store::{Applied, Change, Store};
+
+pub(super) const KIOSK: &str = "kiosk-core";
+
+pub(super) fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub(super) fn entry(vm: &str, zone: &str) -> EntryVm {
+    let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    EntryVm {
+        vm: vm.into(),
+        zone: zone.into(),
+        peer: address,
+        announce: address,
+        operator: address,
+        stopping: false,
+    }
+}
+
+pub(super) fn kiosk() -> Described {
+    Described {
+        service: KIOSK.into(),
+        term: ms(2000),
+        spans: 16,
+        longest: ms(300),
+    }
+}
+
+/// A leader with its state, and entry VMs that can be in touch with it.
+pub(super) struct Control {
+    pub(super) now: Instant,
+    pub(super) since: Instant,
+    pub(super) store: Store,
+    pub(super) office: Office,
+    pub(super) number: u64,
+    pub(super) index: u64,
+}
+
+impl Control {
+    pub(super) fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            now,
+            since: now,
+            store: Store::default(),
+            office: Office::default(),
+            number: 0,
+            index: 0,
+        }
+    }
+
+    /// Decides and applies at once; returns what was done.
+    pub(super) fn decide(&mut self) -> Vec<Change> {
+        let services = [kiosk()];
+        let changes = self
+            .office
+            .decide(self.now, self.since, &self.store, &services);
+        for change in &changes {
+            self.index += 1;
+            assert_eq!(
+                self.store.apply(self.index, change.clone()),
+                Applied::Done,
+                "{change:?}"
+            );
+        }
+        changes
+    }
+
+    /// An entry VM asks for news.
+    pub(super) fn watch(&mut self, vm: &str, zone: &str, servers: u32) {
+        let heard = Heard {
+            service: KIOSK.into(),
+            servers,
+            slots: servers * 6,
+        };
+        let request = WatchRequest {
+            entry: entry(vm, zone),
+            have: 0,
+            wait: ms(100),
+            heard: vec![heard],
+        };
+        self.office.watch_seen(self.now, &request);
+    }
+
+    /// The carrier of a zone renews with so many servers; what it is to release.
+    pub(super) fn renew(
+        &mut self,
+        zone: &str,
+        servers: u32,
+        released: &[crate::keys::Span],
+    ) -> Option<Vec<crate::keys::Span>> {
+        let delegation = self.store.delegation(KIOSK, zone).unwrap().clone();
+        self.number += 1;
+        let report = DutyReport {
+            service: KIOSK.into(),
+            zone: zone.into(),
+            epoch: delegation.epoch,
+            servers,
+            slots: servers * 6,
+            released: released.to_vec(),
+            resigned: false,
+        };
+        let request = RenewRequest {
+            vm: delegation.carrier,
+            number: self.number,
+            duties: vec![report],
+            acting: vec![delegation.epoch],
+        };
+        let answer = self.office.renew(self.now, &request, &self.store);
+        answer.renewed.into_iter().next().map(|r| r.release)
+    }
+
+    pub(super) fn carrier(&self, zone: &str) -> String {
+        self.store
+            .delegation(KIOSK, zone)
+            .unwrap()
+            .carrier
+            .to_string()
+    }
+
+    pub(super) fn spans(&self, zone: &str) -> usize {
+        self.store.delegation(KIOSK, zone).unwrap().spans.len()
+    }
+}
+
+/// Two zones of two and one entry VMs, with a first delegation by slots 2 to 1.
+pub(super) fn delegated() -> Control {
+    let mut control = Control::new();
+    for step in 0..20 {
+        control.now += ms(100);
+        control.watch("a1", "a", 2);
+        control.watch("a2", "a", 0);
+        control.watch("b1", "b", 1);
+        control.decide();
+        if step > 11 {
+            control.renew("a", 2, &[]);
+            control.renew("b", 1, &[]);
+        }
+    }
+    control
+}
--- /dev/null
+++ b/src/delegate/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Tests of delegations.
+
+mod desk;
+mod fixture;
+mod office;
+mod right;
+mod store;
--- /dev/null
+++ b/src/delegate/tests/right.rs
@@ -0,0 +1,118 @@
+//! The carrier's right and the voters' promises.
+
+use std::time::Instant;
+
+use super::fixture::ms;
+use crate::delegate::bar::BarDesk;
+use crate::delegate::messages::{BarRequest, WatchAnswer};
+use crate::delegate::{Delegation, Right, View};
+use crate::keys::Span;
+
+fn delegation(voters: &[&str], tiebreak: bool) -> Delegation {
+    Delegation {
+        service: "s".into(),
+        zone: "z".into(),
+        epoch: 3,
+        carrier: "a".into(),
+        voters: voters.iter().map(|v| (*v).into()).collect(),
+        tiebreak,
+        term: ms(2000),
+        spans: vec![Span::ALL],
+        prior: Vec::new(),
+    }
+}
+
+#[test]
+fn a_single_voter_acts_for_the_term() {
+    let now = Instant::now();
+    let mut right = Right::new(&delegation(&["a"], false));
+    assert_eq!(right.until(now), None);
+    right.renewed(now);
+    assert_eq!(right.until(now), Some(now + ms(2000)));
+    assert_eq!(right.until(now + ms(2000)), None);
+}
+
+#[test]
+fn two_voters_need_the_control_vote_or_each_other() {
+    let now = Instant::now();
+    let mut right = Right::new(&delegation(&["a", "b"], true));
+    right.renewed(now);
+    assert_eq!(right.until(now), Some(now + ms(300)));
+    right.vote(&"b".into(), now + ms(250));
+    assert_eq!(right.until(now + ms(300)), Some(now + ms(550)));
+    right.vote(&"b".into(), now + ms(1900));
+    assert_eq!(right.until(now + ms(1900)), Some(now + ms(2000)));
+}
+
+#[test]
+fn five_voters_need_two_beside_the_carrier() {
+    let now = Instant::now();
+    let mut right = Right::new(&delegation(&["a", "b", "c", "d", "e"], false));
+    right.renewed(now);
+    right.vote(&"b".into(), now);
+    assert_eq!(right.until(now), None);
+    right.vote(&"stranger".into(), now);
+    assert_eq!(right.until(now), None);
+    right.vote(&"d".into(), now + ms(40));
+    assert_eq!(right.until(now + ms(50)), Some(now + ms(300)));
+    right.vote(&"e".into(), now + ms(50));
+    assert_eq!(right.until(now + ms(50)), Some(now + ms(340)));
+}
+
+fn bar(epoch: u64) -> BarRequest {
+    BarRequest {
+        service: "s".into(),
+        zone: "z".into(),
+        epoch,
+    }
+}
+
+#[test]
+fn a_barred_voter_votes_for_no_lower_epoch() {
+    let start = Instant::now();
+    let desk = BarDesk::new(start);
+    let view = View::default();
+    assert!(!desk.may_vote(&view, "s", "z", 3));
+    view.take_in(WatchAnswer {
+        index: 9,
+        delegations: vec![delegation(&["a"], false)],
+        ..WatchAnswer::default()
+    });
+    assert!(desk.may_vote(&view, "s", "z", 3));
+    assert!(!desk.may_vote(&view, "s", "z", 2));
+    desk.voted("s", "z", 3, start + ms(100));
+    let answer = desk.bar(start + ms(150), &bar(5));
+    assert_eq!((answer.voted_ms, answer.running_ms), (Some(50), 150));
+    assert!(!desk.may_vote(&view, "s", "z", 3));
+    assert!(desk.may_vote(&view, "s", "z", 5));
+    desk.voted("s", "z", 5, start + ms(200));
+    assert_eq!(desk.bar(start + ms(250), &bar(5)).voted_ms, Some(150));
+    assert_eq!(desk.bar(start + ms(250), &bar(6)).voted_ms, Some(50));
+}
+
+#[test]
+fn a_carrier_that_is_barred_has_just_voted_for_itself() {
+    let start = Instant::now();
+    let desk = BarDesk::new(start);
+    desk.carries("s", "z", Some(3));
+    assert_eq!(desk.bar(start + ms(70), &bar(4)).voted_ms, Some(0));
+    assert!(desk.barred("s", "z", 3));
+}
+
+#[test]
+fn a_view_never_goes_back() {
+    let view = View::default();
+    let answer = |index, epoch| WatchAnswer {
+        index,
+        delegations: vec![Delegation {
+            epoch,
+            ..delegation(&["a"], false)
+        }],
+        ..WatchAnswer::default()
+    };
+    assert!(view.take_in(answer(5, 3)));
+    assert!(!view.take_in(answer(4, 2)));
+    assert!(view.take_in(answer(5, 2)));
+    assert_eq!(view.delegation("s", "z").map(|d| d.epoch), Some(3));
+    assert_eq!(view.index(), 5);
+}
--- /dev/null
+++ b/src/delegate/tests/store.rs
@@ -0,0 +1,130 @@
+//! Guards of the replicated state.
+
+use std::time::Duration;
+
+use super::fixture::{KIOSK, kiosk};
+use crate::delegate::store::{Applied, Appointment, Change, Share, Store};
+use crate::keys::{self, Span};
+
+fn appointment(zone: &str, carrier: &str) -> Appointment {
+    Appointment {
+        zone: zone.into(),
+        carrier: carrier.into(),
+        voters: vec![carrier.into()],
+        tiebreak: false,
+        term: Duration::from_secs(2),
+    }
+}
+
+fn first(shares: Vec<(&str, Vec<Span>)>) -> Change {
+    let shares = shares.into_iter().map(|(zone, spans)| Share {
+        appointment: appointment(zone, "vm"),
+        spans,
+    });
+    Change::First {
+        service: KIOSK.into(),
+        shares: shares.collect(),
+    }
+}
+
+fn appoint(epoch: u64, carrier: &str, resigned: bool) -> Change {
+    Change::Appoint {
+        service: KIOSK.into(),
+        epoch,
+        appointment: appointment("a", carrier),
+        resigned,
+    }
+}
+
+fn transfer(epochs: (u64, u64), to: &str, spans: Vec<Span>) -> Change {
+    Change::Move {
+        service: KIOSK.into(),
+        from: "a".into(),
+        from_epoch: epochs.0,
+        to: appointment(to, "vm"),
+        to_epoch: epochs.1,
+        spans,
+    }
+}
+
+#[test]
+fn a_first_delegation_must_cover_the_space_once() {
+    let spans = Span::cut(4);
+    let mut store = Store::default();
+    let gap = first(vec![("a", spans[..2].to_vec()), ("b", spans[3..].to_vec())]);
+    assert_eq!(store.apply(1, gap), Applied::Refused);
+    let twice = first(vec![("a", spans.clone()), ("b", spans[3..].to_vec())]);
+    assert_eq!(store.apply(2, twice), Applied::Refused);
+    let zone_twice = first(vec![("a", spans[..2].to_vec()), ("a", spans[2..].to_vec())]);
+    assert_eq!(store.apply(3, zone_twice), Applied::Refused);
+    let whole = first(vec![("a", spans[..2].to_vec()), ("b", spans[2..].to_vec())]);
+    assert_eq!(store.apply(4, whole.clone()), Applied::Done);
+    assert_eq!(store.apply(5, whole), Applied::Stale);
+}
+
+#[test]
+fn a_change_decided_on_an_older_epoch_is_refused() {
+    let spans = Span::cut(4);
+    let mut store = Store::default();
+    store.apply(1, first(vec![("a", spans.clone())]));
+    assert_eq!(store.apply(2, appoint(1, "x", false)), Applied::Done);
+    assert_eq!(store.apply(3, appoint(1, "y", false)), Applied::Stale);
+    let outdated = transfer((1, 0), "b", spans[..1].to_vec());
+    assert_eq!(store.apply(4, outdated), Applied::Stale);
+    let unlisted = transfer((2, 0), "b", vec![Span::one(3)]);
+    assert_eq!(store.apply(5, unlisted), Applied::Refused);
+    let valid = transfer((2, 0), "b", spans[..1].to_vec());
+    assert_eq!(store.apply(6, valid.clone()), Applied::Done);
+    assert_eq!(store.apply(7, valid), Applied::Stale);
+    let epochs: Vec<_> = store.delegations(KIOSK).map(|d| d.epoch).collect();
+    assert_eq!(epochs, [3, 4]);
+}
+
+#[test]
+fn carriers_stay_listed_until_they_are_waited_out() {
+    let mut store = Store::default();
+    store.apply(1, first(vec![("a", vec![Span::ALL])]));
+    store.apply(2, appoint(1, "x", false));
+    store.apply(3, appoint(2, "y", true));
+    let prior = |store: &Store| -> Vec<_> {
+        let delegation = store.delegation(KIOSK, "a").unwrap();
+        let prior = delegation.prior.iter();
+        prior.map(|p| (p.carrier.to_string(), p.resigned)).collect()
+    };
+    assert_eq!(prior(&store), [("vm".into(), false), ("x".into(), true)]);
+    let settle = |epoch| Change::Settle {
+        service: KIOSK.into(),
+        zone: "a".into(),
+        epoch,
+    };
+    assert_eq!(store.apply(4, settle(2)), Applied::Stale);
+    assert_eq!(store.apply(5, settle(3)), Applied::Done);
+    assert_eq!(prior(&store), []);
+}
+
+#[test]
+fn news_hold_what_changed_after_a_position() {
+    let mut store = Store::default();
+    store.apply(1, first(vec![("a", Span::cut(2))]));
+    let change = Change::Seen {
+        entry: super::fixture::entry("a1", "a"),
+    };
+    store.apply(2, change);
+    store.apply(3, transfer((1, 0), "b", Span::cut(2)[1..].to_vec()));
+    let news = store.news_since(2);
+    assert_eq!((news.delegations.len(), news.entries.len()), (2, 0));
+    assert_eq!(store.news_since(3).delegations, []);
+    let all = store.news_since(0);
+    assert_eq!((all.delegations.len(), all.entries.len()), (2, 1));
+}
+
+#[test]
+fn a_snapshot_gives_back_the_same_state() {
+    let mut store = Store::default();
+    store.apply(1, first(vec![("a", Span::cut(kiosk().spans))]));
+    store.apply(2, appoint(1, "x", false));
+    let text = serde_json::to_string(&store).unwrap();
+    assert_eq!(serde_json::from_str::<Store>(&text).unwrap(), store);
+    let widths = store.delegations(KIOSK).flat_map(|d| d.spans.iter());
+    assert_eq!(widths.map(Span::width).sum::<u64>(), keys::SPACE);
+}
