Grant spans to backend servers, publish routes, hear announcements

Cause: nothing granted anything yet. Ruled out: heartbeats without a number. A heartbeat that was overtaken would be read as the server having dropped a grant, or having ended its work on one; a number that grows within an incarnation (`beat`) tells. The server takes in only the answer to its latest question. Also ruled out: prolonging maps while the carrier has no right; such an answer has epoch 0. Change: Duty (lease, pull with deltas, expiry, moves, drain, takeover), Duties, Desk, the placement policy with its baselines; `beat` in LeaseRequest. Takeover, drain, balance and split have no tests yet. Conclusion: usable by the entry daemon; the properties come next.

--- /dev/null
+++ b/src/announce/tests.rs
@@ -0,0 +1,84 @@
+//! Tests of the desk.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::check::BadAnnouncement;
+use super::{Desk, Reply};
+use crate::clock;
+use crate::grant::messages::Elsewhere;
+use crate::grant::{Duties, Grant, LeaseRequest};
+use crate::keys::{SPACE, Span};
+
+fn request() -> LeaseRequest {
+    LeaseRequest {
+        server: "depot-1".into(),
+        incarnation: "a".into(),
+        beat: 1,
+        service: "depot".into(),
+        zone: "galway".into(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        slots: 6,
+        checks: true,
+        draining: false,
+        busy: 0,
+        holds: Vec::new(),
+        finishing: Vec::new(),
+    }
+}
+
+fn desk() -> Desk {
+    let carrier = "127.0.0.1:7000".parse().ok();
+    let carrier_of = move |_: &_, _: &_| carrier;
+    Desk::new(
+        "galway".into(),
+        Rc::new(Duties::default()),
+        Box::new(carrier_of),
+    )
+}
+
+#[test]
+fn without_a_duty_the_carrier_is_named_and_the_server_heard() {
+    let (desk, now) = (desk(), clock::now());
+    let elsewhere = Elsewhere {
+        announce: "127.0.0.1:7000".parse().ok(),
+    };
+    assert_eq!(desk.lease(now, &request()), Reply::Elsewhere(elsewhere));
+    let heard = desk.heard(now);
+    assert_eq!((heard[0].servers, heard[0].slots), (1, 6));
+    assert!(desk.heard(now + Duration::from_secs(3)).is_empty());
+}
+
+#[test]
+fn announcements_without_sense_are_refused() {
+    let bad = |change: fn(&mut LeaseRequest)| {
+        let mut request = request();
+        change(&mut request);
+        match desk().lease(clock::now(), &request) {
+            Reply::Bad(bad) => bad,
+            other => panic!("not refused: {other:?}"),
+        }
+    };
+    let long = |r: &mut LeaseRequest| r.server = "x".repeat(65).into();
+    assert_eq!(bad(long), BadAnnouncement::Name("server"));
+    assert_eq!(
+        bad(|r| r.service = "a b".into()),
+        BadAnnouncement::Name("service")
+    );
+    assert_eq!(
+        bad(|r| r.zone = "cork".into()),
+        BadAnnouncement::Zone("galway".into())
+    );
+    assert_eq!(bad(|r| r.slots = 0), BadAnnouncement::Slots(0));
+    assert_eq!(bad(|r| r.beat = 0), BadAnnouncement::Beat);
+    assert_eq!(bad(|r| r.beat = 1 << 53), BadAnnouncement::Number);
+    assert_eq!(bad(|r| r.address.set_port(0)), BadAnnouncement::Port);
+    let span = |r: &mut LeaseRequest| {
+        let span = Span {
+            start: 1,
+            end: SPACE,
+        };
+        r.holds = vec![Grant { span, fence: 1 }];
+    };
+    assert_eq!(bad(span), BadAnnouncement::Span(1, SPACE));
+}
--- /dev/null
+++ b/src/grant/duty.rs
@@ -0,0 +1,253 @@
+//! The granting duty of a carrier for one service in one zone.
+//!
+//! Everything is kept in memory: what must survive stands in the delegation's
+//! epoch. Time is passed in, and [`Rights`] say whether the carrier may act;
+//! without a right it answers no server and publishes no map.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::messages::{LeaseAnswer, LeaseRequest};
+use super::overview::Overview;
+use super::state::State;
+use crate::clock;
+use crate::delegate::messages::{Delegation, DutyReport};
+use crate::document::Document;
+use crate::ids;
+use crate::keys;
+use crate::notify::Notify;
+use crate::route::{self, PullAnswer, PullRequest};
+use crate::timeline::Journal;
+
+/// What a carrier starts from.
+#[derive(Clone, Debug, Default)]
+pub struct Inherited {
+    /// Routes of the map that this VM holds as a subscriber.
+    pub routes: Vec<route::Route>,
+    /// Servers of that map.
+    pub servers: Vec<route::ServerInfo>,
+    /// Whether that map had not run out when the prior carrier's right ended.
+    pub fresh: bool,
+    /// Instant since which the prior carrier surely acts no more; `None` if there was none.
+    pub prior_end: Option<Instant>,
+}
+
+/// Until when a carrier may act, asked at an instant.
+pub type Until = Box<dyn Fn(Instant) -> Option<Instant>>;
+
+/// Takes an entry VM's vote, counted from an instant.
+pub type Vote = Box<dyn Fn(&ids::VmName, Instant)>;
+
+/// The carrier's right to act, kept elsewhere.
+pub struct Rights {
+    /// Until when the carrier may act; `None` if it may not act now.
+    pub until: Until,
+    /// Takes a subscriber's vote, counted from that instant.
+    pub vote: Vote,
+}
+
+impl fmt::Debug for Rights {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Rights").finish_non_exhaustive()
+    }
+}
+
+/// Why a question for routes is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PullRefused {
+    /// The asking VM knows a higher epoch than this carrier.
+    Outdated,
+    /// The carrier gave up the duty.
+    Resigned,
+}
+
+/// A carrier's duty for one service in one zone.
+#[derive(Debug)]
+pub struct Duty {
+    service: ids::ServiceName,
+    zone: ids::ZoneName,
+    state: RefCell<State>,
+    changed: Notify,
+    rights: Rights,
+    resigned: Cell<bool>,
+    acted: Cell<bool>,
+}
+
+impl Duty {
+    /// A duty under a delegation to this VM.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "the caller has no further use for what was inherited"
+    )]
+    pub fn new(
+        delegation: &Delegation,
+        document: Rc<Document>,
+        inherited: Inherited,
+        rights: Rights,
+        journal: Journal,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            service: ids::ServiceName::clone(&delegation.service),
+            zone: ids::ZoneName::clone(&delegation.zone),
+            state: RefCell::new(State::new(delegation, document, &inherited, journal)),
+            changed: Notify::default(),
+            rights,
+            resigned: Cell::new(false),
+            acted: Cell::new(false),
+        })
+    }
+
+    /// Service.
+    pub const fn service(&self) -> &ids::ServiceName {
+        &self.service
+    }
+
+    /// Availability zone.
+    pub const fn zone(&self) -> &ids::ZoneName {
+        &self.zone
+    }
+
+    /// Epoch under which the carrier acts.
+    pub fn epoch(&self) -> ids::Epoch {
+        self.state.borrow().epoch()
+    }
+
+    /// Answers a backend server; `None` if the carrier may not act now.
+    pub fn lease(&self, now: Instant, request: &LeaseRequest) -> Option<LeaseAnswer> {
+        if !self.may_act(now) {
+            return None;
+        }
+        self.change(|s| s.lease(now, request))
+    }
+
+    /// Answers an entry VM, at once if there is news, else within the time it gave.
+    pub async fn pull(&self, request: PullRequest) -> Result<PullAnswer, PullRefused> {
+        let asked = clock::now();
+        self.admit(asked, &request)?;
+        while !self.news(clock::now(), &request) {
+            let left = request.wait.saturating_sub(clock::now() - asked);
+            let woken = !left.is_zero() && self.changed.wait(left).await;
+            if !woken {
+                break;
+            }
+        }
+        self.answer(clock::now(), &request)
+    }
+
+    /// Takes in what an entry VM says of itself with its question.
+    pub fn admit(&self, now: Instant, request: &PullRequest) -> Result<(), PullRefused> {
+        self.standing(request)?;
+        let sent = self.state.borrow_mut().heard(now, request);
+        match sent {
+            Some(sent) if request.votes && request.epoch == self.epoch() => {
+                (self.rights.vote)(&request.vm, sent);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Answers an entry VM with the changes since the map it holds.
+    pub fn answer(&self, now: Instant, request: &PullRequest) -> Result<PullAnswer, PullRefused> {
+        self.standing(request)?;
+        let mapped = self.may_act(now);
+        Ok(self.state.borrow_mut().answer(now, request, mapped))
+    }
+
+    /// Advances everything that waits for time to pass.
+    pub fn tick(&self, now: Instant) {
+        let may_act = self.may_act(now);
+        self.change(|s| s.tick(now, may_act));
+        if may_act && !self.acted.replace(may_act) {
+            self.changed.wake();
+        }
+        self.acted.set(may_act);
+    }
+
+    /// Goes on under a delegation with a higher epoch to the same carrier.
+    pub fn rebase(&self, delegation: &Delegation) {
+        self.change(|s| s.rebase(delegation));
+    }
+
+    /// Puts a newer document in force.
+    pub fn document(&self, document: Rc<Document>) {
+        self.change(|s| s.set_document(document));
+    }
+
+    /// Takes spans from their owners for another zone; replaces what was asked before.
+    pub fn release(&self, spans: &[keys::Span]) {
+        self.change(|s| s.release(spans));
+    }
+
+    /// Gives up the duty, because this VM is stopping; the next report says so.
+    pub fn resign(&self) {
+        self.resigned.set(true);
+        self.changed.wake();
+    }
+
+    /// State for the leader; a carrier that reports itself resigned acts no more.
+    pub fn report(&self, now: Instant) -> DutyReport {
+        if self.state.borrow().spent() {
+            self.resign();
+        }
+        let report = self.state.borrow_mut().report(now);
+        DutyReport {
+            service: ids::ServiceName::clone(&self.service),
+            zone: ids::ZoneName::clone(&self.zone),
+            resigned: self.resigned.get(),
+            ..report
+        }
+    }
+
+    /// Starts or stops draining a backend server on an operator's behalf.
+    pub fn drain(&self, server: &str, on: bool) {
+        self.change(|s| s.drain(server, on));
+    }
+
+    /// State for operators.
+    pub fn overview(&self) -> Overview {
+        let (servers, moves, dark) = self.state.borrow().lines();
+        Overview {
+            service: ids::ServiceName::clone(&self.service),
+            zone: ids::ZoneName::clone(&self.zone),
+            epoch: self.epoch(),
+            version: self.state.borrow().version(),
+            servers,
+            moves,
+            dark,
+        }
+    }
+
+    fn may_act(&self, now: Instant) -> bool {
+        let until = (self.rights.until)(now);
+        !self.resigned.get() && until.is_some_and(|u| u > now) && self.state.borrow().begun(now)
+    }
+
+    fn standing(&self, request: &PullRequest) -> Result<(), PullRefused> {
+        match () {
+            () if self.resigned.get() => Err(PullRefused::Resigned),
+            () if request.epoch > self.epoch() => Err(PullRefused::Outdated),
+            () => Ok(()),
+        }
+    }
+
+    fn news(&self, now: Instant, request: &PullRequest) -> bool {
+        let first = request.answered == 0;
+        let newer = self.may_act(now) && self.state.borrow().newer(request);
+        self.resigned.get() || first || newer
+    }
+
+    fn change<F, T>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut State) -> T,
+    {
+        let before = self.state.borrow().version();
+        let out = work(&mut self.state.borrow_mut());
+        if self.state.borrow().version() != before {
+            self.changed.wake();
+        }
+        out
+    }
+}
--- a/src/grant/messages.rs
+++ b/src/grant/messages.rs
@@ -25,6 +25,10 @@
     pub server: ids::ServerName,
     /// Random name of this start.
     pub incarnation: ids::Incarnation,
+    /// Number of this question, growing within an incarnation; a server that checks must number
+    /// its questions from 1 and take in only the answer to the latest.
+    #[serde(default)]
+    pub beat: u64,
     /// Service.
     pub service: ids::ServiceName,
     /// Availability zone.
--- a/src/grant/mod.rs
+++ b/src/grant/mod.rs
@@ -5,6 +5,20 @@
 //! lease over all of them, counted by the server from the moment it asked, so
 //! that an answer that arrives late cannot prolong anything.
 
+pub mod duties;
+pub mod duty;
 pub mod messages;
+mod moves;
+pub mod overview;
+mod piece;
+mod server;
+mod state;
+mod subscriber;
+mod takeover;
 
+#[cfg(test)]
+mod tests;
+
+pub use duties::Duties;
+pub use duty::{Duty, Inherited, PullRefused, Rights, Until, Vote};
 pub use messages::{Grant, LeaseAnswer, LeaseRequest};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! A router for servers that own their keys exclusively.
 
+pub mod announce;
 pub mod claim;
 pub mod clock;
 pub mod control;
@@ -11,6 +12,7 @@
 pub mod ids;
 pub mod keys;
 pub mod notify;
+pub mod place;
 pub mod route;
 pub mod rpc;
 pub mod runtime;
--- /dev/null
+++ b/src/place/baseline.rs
@@ -0,0 +1,31 @@
+//! Plain ways to place keys, to measure the policy against.
+
+use crate::keys;
+
+/// Points of each server on the ring.
+const POINTS: u64 = 100;
+
+/// Owner of a hash by its remainder; `servers` are the ids of the servers that live.
+pub fn modulo(hash: keys::KeyHash, servers: &[u64]) -> Option<u64> {
+    let count = u64::try_from(servers.len()).ok()?;
+    let index = hash.checked_rem(count)?;
+    servers.get(usize::try_from(index).ok()?).copied()
+}
+
+/// The points of a ring, in order, each with the id of its server.
+pub fn ring(servers: &[u64]) -> Vec<(keys::KeyHash, u64)> {
+    let points = |server: &u64| {
+        let server = *server;
+        (0..POINTS).map(move |i| (keys::hash(&format!("{server}/{i}")), server))
+    };
+    let mut ring: Vec<_> = servers.iter().flat_map(points).collect();
+    ring.sort_unstable();
+    ring
+}
+
+/// Owner of a hash by consistent hashing: the next point of the ring.
+pub fn consistent(hash: keys::KeyHash, ring: &[(keys::KeyHash, u64)]) -> Option<u64> {
+    let next = ring.partition_point(|(p, _)| *p < hash);
+    let point = ring.get(next).or_else(|| ring.first());
+    point.map(|(_, server)| *server)
+}
--- a/src/route/messages.rs
+++ b/src/route/messages.rs
@@ -79,7 +79,8 @@
 pub struct PullAnswer {
     /// Number of this answer, to be repeated in the next question.
     pub number: u64,
-    /// Epoch of the map.
+    /// Epoch of the map; 0 if the carrier may not act now: the answer then carries no map and
+    /// prolongs none, but its number can be voted with.
     pub epoch: ids::Epoch,
     /// Version of the map once the changes are taken in.
     pub version: ids::MapVersion,
