--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! A router for servers that own their keys exclusively.
 
 pub mod admit;
+pub mod announce;
 pub mod claim;
 pub mod clock;
 pub mod control;
@@ -13,6 +14,7 @@
 pub mod ids;
 pub mod keys;
 pub mod notify;
+pub mod place;
 pub mod route;
 pub mod rpc;
 pub mod runtime;
