--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod grant;
 pub mod ids;
 pub mod keys;
+pub mod log;
 pub mod notify;
 pub mod route;
 pub mod rpc;
--- /dev/null
+++ b/src/log/members.rs
@@ -0,0 +1,344 @@
+//! Members: forming a cluster, admitting a disk, and letting one go.
+//!
+//! A cluster is formed once, by the VM with the lowest name, and only when
+//! every configured VM was reached and has a blank disk. A blank disk that
+//! finds a formed cluster asks to be admitted. It first learns the log; then
+//! the lost disk of its VM is removed, and then it becomes a voter, each by a
+//! change of its own, so that every two majorities in a row share a member.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Member;
+use super::messages::{self, Blank, Condition, Join, Joined};
+use super::model::{Body, DiskId, Entry, Membership, Seat, Vote};
+use super::node::Node;
+use super::replicate;
+use super::state::State;
+use crate::ids;
+use crate::rpc::Peer;
+
+/// Time between looks at the own membership.
+const SEEK: Duration = Duration::from_millis(100);
+
+/// Longest wait for an answer about members.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between looks at a change under way.
+const POLL: Duration = Duration::from_millis(5);
+
+/// Forms or joins a cluster whenever this disk has no vote, until the log stops.
+pub(super) async fn settle(node: Rc<Node>) {
+    while !node.stopped() {
+        if !is_voter(&node) {
+            seek(&node).await;
+        }
+        monoio::time::sleep(SEEK).await;
+    }
+}
+
+fn is_voter(node: &Node) -> bool {
+    let state = node.state();
+    state.log.members().is_some_and(|m| m.is_voter(&state.disk))
+}
+
+async fn seek(node: &Rc<Node>) {
+    let conditions = ask_all(node, None).await;
+    if conditions.iter().flatten().any(|c| c.formed) {
+        node.state_mut().founder = None;
+        join(node, &conditions).await;
+        return;
+    }
+    let others = node
+        .config
+        .members
+        .iter()
+        .filter(|m| m.vm != node.config.vm);
+    let first = others.clone().all(|m| node.config.vm < m.vm);
+    if !first || !all_blank(node, &conditions) {
+        return;
+    }
+    let founder = Arc::clone(&node.state().disk);
+    let conditions = ask_all(node, Some(founder)).await;
+    if all_blank(node, &conditions) {
+        form(node, conditions.into_iter().flatten().collect()).await;
+    }
+}
+
+fn all_blank(node: &Node, conditions: &[Option<Condition>]) -> bool {
+    let own = node.state().log.members().is_none();
+    own && conditions
+        .iter()
+        .all(|c| c.as_ref().is_some_and(|c| !c.formed))
+}
+
+/// Asks every other configured VM; `None` for each that did not answer.
+async fn ask_all(node: &Rc<Node>, founder: Option<DiskId>) -> Vec<Option<Condition>> {
+    let others = node
+        .config
+        .members
+        .iter()
+        .filter(|m| m.vm != node.config.vm);
+    let ask = |member: &Member| {
+        let blank = Blank {
+            founder: founder.clone(),
+        };
+        monoio::spawn(ask(peer(node, member), Arc::clone(&member.vm), blank))
+    };
+    let calls: Vec<_> = others.map(ask).collect();
+    let mut conditions = Vec::new();
+    for call in calls {
+        conditions.push(call.await);
+    }
+    conditions
+}
+
+fn peer(node: &Node, member: &Member) -> Peer {
+    node.peer(&Seat {
+        vm: Arc::clone(&member.vm),
+        disk: Arc::default(),
+        address: member.address,
+        voter: false,
+    })
+}
+
+async fn ask(peer: Peer, vm: ids::VmName, blank: Blank) -> Option<Condition> {
+    let call = peer.call::<_, Condition>(messages::BLANK, &blank, CALL_TIMEOUT);
+    call.await.ok().filter(|c| c.vm == vm)
+}
+
+/// Asks those that belong to a cluster for admission; the leader begins it.
+async fn join(node: &Node, conditions: &[Option<Condition>]) {
+    let request = Join {
+        vm: Arc::clone(&node.config.vm),
+        disk: Arc::clone(&node.state().disk),
+    };
+    for condition in conditions.iter().flatten().filter(|c| c.formed) {
+        let member = node.config.members.iter().find(|m| m.vm == condition.vm);
+        let Some(member) = member else { continue };
+        let peer = peer(node, member);
+        let call = peer.call::<_, Joined>(messages::JOIN, &request, CALL_TIMEOUT);
+        if call.await.is_ok_and(|j| j.begun) {
+            return;
+        }
+    }
+}
+
+/// Writes the first entry, which names the members; an election follows.
+async fn form(node: &Node, conditions: Vec<Condition>) {
+    let disks: Vec<_> = conditions.into_iter().map(|c| (c.vm, c.disk)).collect();
+    {
+        let mut state = node.state_mut();
+        let own = Arc::clone(&state.disk);
+        let disk_of = |vm: &ids::VmName| {
+            let found = disks.iter().find(|(v, _)| v == vm);
+            found.map_or_else(|| Arc::clone(&own), |(_, disk)| Arc::clone(disk))
+        };
+        let seat = |m: &Member| Seat {
+            vm: Arc::clone(&m.vm),
+            disk: disk_of(&m.vm),
+            address: m.address,
+            voter: true,
+        };
+        let seats = node.config.members.iter().map(seat).collect();
+        state.vote = Vote {
+            term: 1,
+            choice: Some(Arc::clone(&own)),
+        };
+        let members = Membership {
+            founder: own,
+            seats,
+        };
+        state.log.push(Entry {
+            index: 1,
+            term: 1,
+            body: Body::Members(members),
+        });
+        state.patience = Duration::ZERO;
+    }
+    node.record(
+        "log.formed",
+        &format!("{} members", node.config.members.len()),
+    );
+    node.save_vote().await;
+    node.work.wake();
+}
+
+/// Says whether this disk is blank, and agrees to follow a founder if so.
+pub(super) fn blank(node: &Node, blank: Blank) -> Condition {
+    let mut state = node.state_mut();
+    let formed = state.log.members().is_some();
+    if !formed && blank.founder.is_some() {
+        state.founder = blank.founder;
+    }
+    Condition {
+        vm: Arc::clone(&node.config.vm),
+        disk: Arc::clone(&state.disk),
+        formed,
+    }
+}
+
+/// Begins to admit a disk, as leader.
+pub(super) fn admit(node: &Rc<Node>, join: Join) -> Joined {
+    let refused = |reason: &str| Joined {
+        begun: false,
+        reason: Some(reason.into()),
+    };
+    let mut state = node.state_mut();
+    let term = state.term();
+    if !state.leads(term) || state.leaving {
+        return refused("another VM leads");
+    }
+    let Some(address) = address_of(node, &state, &join.vm) else {
+        drop(state);
+        node.record("log.join_refused", &join.vm);
+        return refused("the VM is no member");
+    };
+    if state.admitting.insert(Arc::clone(&join.disk)) {
+        let seat = Seat {
+            vm: join.vm,
+            disk: join.disk,
+            address,
+            voter: false,
+        };
+        monoio::spawn(admit_disk(Rc::clone(node), seat, term));
+    }
+    Joined {
+        begun: true,
+        reason: None,
+    }
+}
+
+/// Address of a VM that is a member or was invited.
+fn address_of(node: &Node, state: &State, vm: &ids::VmName) -> Option<SocketAddr> {
+    let seats = &state.log.members()?.seats;
+    let seated = seats.iter().find(|s| s.vm == *vm).map(|s| s.address);
+    let configured = node.config.members.iter().find(|m| m.vm == *vm);
+    let invited = state
+        .invited
+        .iter()
+        .find(|m| m.vm == *vm)
+        .map(|m| m.address);
+    let known = seated.or(invited)?;
+    Some(configured.map_or(known, |m| m.address))
+}
+
+async fn admit_disk(node: Rc<Node>, seat: Seat, term: ids::LogTerm) {
+    node.record("log.admitting", &format!("{} disk {}", seat.vm, seat.disk));
+    let done = change(&node, term, |_, m| Some(with_learner(m, &seat))).await
+        && change(&node, term, |s, m| without_lost(s, m, &seat)).await
+        && change(&node, term, |s, m| with_voter(s, m, &seat)).await;
+    let mut state = node.state_mut();
+    state.admitting.remove(&seat.disk);
+    state.invited.retain(|m| !done || m.vm != seat.vm);
+    drop(state);
+    let kind = if done {
+        "log.admitted"
+    } else {
+        "log.not_admitted"
+    };
+    node.record(kind, &format!("{} disk {}", seat.vm, seat.disk));
+}
+
+/// Adds a disk that learns, in place of any other disk of its VM that does so.
+fn with_learner(members: &Membership, seat: &Seat) -> Membership {
+    let mut members = members.clone();
+    if members.seat(&seat.disk).is_none() {
+        members.seats.retain(|s| s.voter || s.vm != seat.vm);
+        members.seats.push(seat.clone());
+    }
+    members
+}
+
+/// Removes the lost voter of a VM once the new disk holds all that is committed.
+fn without_lost(state: &State, members: &Membership, seat: &Seat) -> Option<Membership> {
+    if !has_caught_up(state, seat) {
+        return None;
+    }
+    let mut members = members.clone();
+    members
+        .seats
+        .retain(|s| s.vm != seat.vm || s.disk == seat.disk);
+    Some(members)
+}
+
+/// Makes a disk a voter once it holds all that is committed.
+fn with_voter(state: &State, members: &Membership, seat: &Seat) -> Option<Membership> {
+    if !has_caught_up(state, seat) {
+        return None;
+    }
+    let mut members = members.clone();
+    for own in members.seats.iter_mut().filter(|s| s.disk == seat.disk) {
+        own.voter = true;
+    }
+    Some(members)
+}
+
+fn has_caught_up(state: &State, seat: &Seat) -> bool {
+    let progress = state.progress.get(&seat.disk);
+    progress.is_some_and(|p| p.matched >= state.commit)
+}
+
+/// Outcome of a look at a change.
+enum Step {
+    Wait,
+    Committed,
+    Lost,
+}
+
+/// Makes one change of members as soon as it is allowed; true once it is committed.
+///
+/// `edit` gives the new members, or `None` while it is too early.
+pub(super) async fn change<F>(node: &Rc<Node>, term: ids::LogTerm, edit: F) -> bool
+where
+    F: Fn(&State, &Membership) -> Option<Membership>,
+{
+    let mut appended = None;
+    loop {
+        match step(node, term, &edit, &mut appended) {
+            Step::Committed => return true,
+            Step::Lost => return false,
+            Step::Wait => monoio::time::sleep(POLL).await,
+        }
+    }
+}
+
+fn step<F>(
+    node: &Rc<Node>,
+    term: ids::LogTerm,
+    edit: &F,
+    appended: &mut Option<ids::LogIndex>,
+) -> Step
+where
+    F: Fn(&State, &Membership) -> Option<Membership>,
+{
+    let mut state = node.state_mut();
+    if !state.leads(term) {
+        return Step::Lost;
+    }
+    if let Some(index) = *appended {
+        let committed = state.commit >= index;
+        return if committed {
+            Step::Committed
+        } else {
+            Step::Wait
+        };
+    }
+    let Some(members) = state.changeable() else {
+        return Step::Wait;
+    };
+    match edit(&state, members) {
+        None => Step::Wait,
+        Some(new) if new == *members => Step::Committed,
+        Some(new) => {
+            *appended = Some(state.add(Body::Members(new)));
+            drop(state);
+            replicate::start_links(node);
+            node.work.wake();
+            node.grown.wake();
+            Step::Wait
+        }
+    }
+}
--- /dev/null
+++ b/src/log/tests/faults.rs
@@ -0,0 +1,276 @@
+//! Losses: of leaders, links, disks, and of two things in a row.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::bench::{Cluster, until};
+use crate::log::messages::{self, Ballot, Route, Voted};
+use crate::log::{ProposeError, Role};
+use crate::runtime;
+
+const NOBODY: usize = usize::MAX;
+
+async fn propose_many(cluster: &Cluster, prefix: &str, count: usize, not: usize) {
+    for number in 0..count {
+        cluster.propose(&format!("{prefix}{number}"), not).await;
+    }
+}
+
+#[test]
+fn an_isolated_leader_confirms_no_read() {
+    runtime::run(async {
+        let cluster = Cluster::formed(3, 1000).await;
+        cluster.propose("a", NOBODY).await;
+        let old = cluster.leader().await;
+        cluster.isolate(old, true);
+        assert_eq!(cluster.role(old), Role::Leader);
+        let read = cluster.handle(old).read_barrier().await;
+        assert_eq!(read, Err(ProposeError::NotLeader { leader: None }));
+        let new = cluster.leader_but(old).await;
+        assert!(cluster.handle(new).read_barrier().await.is_ok());
+        cluster.isolate(old, false);
+        until("follower", || cluster.role(old) == Role::Follower).await;
+    });
+}
+
+#[test]
+fn what_an_isolated_leader_appended_is_replaced() {
+    runtime::run(async {
+        let cluster = Cluster::formed(3, 1000).await;
+        cluster.propose("kept", NOBODY).await;
+        let old = cluster.leader().await;
+        cluster.isolate(old, true);
+        let answer = cluster.handle(old).propose(b"dropped".to_vec()).await;
+        assert_eq!(answer, Err(ProposeError::Unsure));
+        propose_many(&cluster, "n", 5, old).await;
+        cluster.isolate(old, false);
+        cluster.agree(&[0, 1, 2], 6).await;
+        assert!(!cluster.list(old).contains(&"dropped".to_owned()));
+    });
+}
+
+#[test]
+fn a_returning_follower_disturbs_no_leader() {
+    runtime::run(async {
+        let cluster = Cluster::formed(3, 1000).await;
+        let leader = cluster.leader().await;
+        let term = cluster.handle(leader).status().term;
+        let cut = (leader + 1) % 3;
+        cluster.isolate(cut, true);
+        let without = || cluster.handle(cut).status().leader.is_none();
+        until("a follower that asked for votes", without).await;
+        cluster.isolate(cut, false);
+        cluster.propose("a", NOBODY).await;
+        cluster.agree(&[0, 1, 2], 1).await;
+        assert_eq!(cluster.handle(cut).status().term, term);
+        assert_eq!(cluster.role(leader), Role::Leader);
+    });
+}
+
+#[test]
+fn a_lost_disk_comes_back_as_a_new_one_and_a_second_loss_loses_nothing() {
+    runtime::run(async {
+        let mut cluster = Cluster::formed(3, 20).await;
+        propose_many(&cluster, "a", 25, NOBODY).await;
+        let first = cluster.leader().await;
+        let (lost, behind) = ((first + 1) % 3, (first + 2) % 3);
+        cluster.isolate(behind, true);
+        propose_many(&cluster, "b", 25, NOBODY).await;
+        cluster.kill(lost);
+        cluster.lose_disk(lost);
+        cluster.isolate(behind, false);
+        cluster.start(lost);
+        let leader = cluster.leader().await;
+        cluster.voters(leader, &cluster.disks()).await;
+        cluster.kill(first);
+        cluster.lose_disk(first);
+        propose_many(&cluster, "c", 5, NOBODY).await;
+        cluster.agree(&[lost, behind], 55).await;
+        cluster.start(first);
+        let leader = cluster.leader().await;
+        cluster.voters(leader, &cluster.disks()).await;
+        cluster.agree(&[0, 1, 2], 55).await;
+    });
+}
+
+#[test]
+fn a_blank_disk_casts_no_vote_of_the_lost_one() {
+    runtime::run(async {
+        let mut cluster = Cluster::formed(3, 1000).await;
+        let leader = cluster.leader().await;
+        let (lost, other) = ((leader + 1) % 3, (leader + 2) % 3);
+        let old = cluster.handle(lost).status().disk;
+        let founder = cluster.handle(0).status().disk;
+        let candidate = cluster.handle(other).status();
+        (0..3).for_each(|n| cluster.kill(n));
+        cluster.lose_disk(lost);
+        cluster.start(lost);
+        assert_ne!(cluster.handle(lost).status().disk, old);
+        let ballot = Ballot {
+            route: Route {
+                cluster: founder,
+                term: candidate.term + 10,
+                vm: candidate.vm,
+                from: candidate.disk,
+                to: old,
+            },
+            last: candidate.last,
+            last_term: candidate.term,
+            pre: false,
+            asked: false,
+        };
+        let body = serde_json::value::to_raw_value(&ballot).unwrap();
+        let answer = cluster.handle(lost).answer(messages::VOTE, &body).await;
+        let voted: Voted = serde_json::from_str(answer.unwrap().unwrap().get()).unwrap();
+        assert!(!voted.granted);
+    });
+}
+
+#[test]
+fn a_blank_founder_forms_no_second_cluster() {
+    runtime::run(async {
+        let mut cluster = Cluster::formed(3, 1000).await;
+        propose_many(&cluster, "a", 5, NOBODY).await;
+        cluster.agree(&[0, 1, 2], 5).await;
+        (0..3).for_each(|n| cluster.kill(n));
+        cluster.lose_disk(0);
+        cluster.start(0);
+        cluster.start(1);
+        monoio::time::sleep(Duration::from_millis(500)).await;
+        cluster.start(2);
+        let leader = cluster.leader().await;
+        cluster.voters(leader, &cluster.disks()).await;
+        cluster.agree(&[0, 1, 2], 5).await;
+        assert_eq!(cluster.events(0, "log.formed"), 1);
+    });
+}
+
+#[test]
+fn hundreds_of_entries_start_again_from_a_snapshot() {
+    runtime::run(async {
+        let mut cluster = Cluster::formed(3, 40).await;
+        let leader = cluster.leader().await;
+        let behind = (leader + 1) % 3;
+        propose_many(&cluster, "a", 10, NOBODY).await;
+        cluster.kill(behind);
+        propose_many(&cluster, "b", 300, NOBODY).await;
+        let covered = || cluster.handle(leader).status().snapshot > 200;
+        until("a snapshot", covered).await;
+        cluster.start(behind);
+        cluster.agree(&[0, 1, 2], 310).await;
+        assert!(cluster.events(behind, "log.installed") >= 1);
+        (0..3).for_each(|n| cluster.kill(n));
+        (0..3).for_each(|n| cluster.start(n));
+        propose_many(&cluster, "c", 1, NOBODY).await;
+        cluster.agree(&[0, 1, 2], 311).await;
+        let files = std::fs::read_dir(cluster.data(leader)).unwrap().count();
+        assert!(files < 12, "{files} files");
+    });
+}
+
+#[test]
+fn a_leader_hands_over_when_it_leaves() {
+    runtime::run(async {
+        let cluster = Cluster::formed(3, 1000).await;
+        propose_many(&cluster, "a", 5, NOBODY).await;
+        let old = cluster.leader().await;
+        let term = cluster.handle(old).status().term;
+        cluster.handle(old).step_down().await;
+        let new = cluster.leader_but(old).await;
+        assert_eq!(cluster.handle(new).status().term, term + 1);
+        cluster.propose("b", NOBODY).await;
+        cluster.agree(&[0, 1, 2], 6).await;
+    });
+}
+
+#[test]
+fn a_removed_vm_returns_only_when_invited() {
+    runtime::run(async {
+        let mut cluster = Cluster::formed(4, 1000).await;
+        let leader = cluster.leader().await;
+        let gone = (leader + 1) % 4;
+        let member = cluster.vms[gone].config.members[gone].clone();
+        cluster.propose("a", NOBODY).await;
+        let removed = cluster.handle(leader).remove_member(&member.vm).await;
+        assert_eq!(removed, Ok(()));
+        cluster.kill(gone);
+        cluster.lose_disk(gone);
+        cluster.voters(leader, &cluster.disks()).await;
+        cluster.start(gone);
+        let asked = || cluster.events(leader, "log.join_refused") > 0;
+        until("a refusal", asked).await;
+        assert_eq!(cluster.handle(leader).status().members.len(), 3);
+        cluster.handle(leader).invite(member);
+        cluster.voters(leader, &cluster.disks()).await;
+        cluster.agree(&[0, 1, 2, 3], 1).await;
+    });
+}
+
+/// Proposes one command after another, and notes those that were acknowledged.
+async fn client(cluster: Rc<RefCell<Cluster>>, acked: Rc<RefCell<Vec<String>>>, id: usize) {
+    for number in 0.. {
+        let text = format!("{id}-{number}");
+        let handles: Vec<_> = {
+            let cluster = cluster.borrow();
+            cluster
+                .vms
+                .iter()
+                .filter_map(|v| v.handle.clone())
+                .collect()
+        };
+        for handle in handles {
+            if handle.propose(text.clone().into_bytes()).await.is_ok() {
+                acked.borrow_mut().push(text.clone());
+                break;
+            }
+        }
+        monoio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn kill_in_turn(seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let cluster = Rc::new(RefCell::new(Cluster::formed(3, 50).await));
+    let acked = Rc::new(RefCell::new(Vec::new()));
+    let clients: Vec<_> = (0..4)
+        .map(|id| monoio::spawn(client(Rc::clone(&cluster), Rc::clone(&acked), id)))
+        .collect();
+    for round in 0..5 {
+        let vm = random.usize(0..3);
+        let enough = 40 * (round + 1);
+        until("acknowledged commands", || acked.borrow().len() >= enough).await;
+        cluster.borrow_mut().kill(vm);
+        cluster.borrow_mut().start(vm);
+    }
+    drop(clients);
+    let acked: Vec<String> = acked.borrow().clone();
+    let holds = |n: usize| {
+        let list = cluster.borrow().list(n);
+        acked.iter().all(|a| list.contains(a))
+    };
+    until("all acknowledged commands everywhere", || (0..3).all(holds)).await;
+}
+
+#[test]
+fn what_was_acknowledged_survives_kills_in_turn() {
+    for seed in 0..3 {
+        println!("seed {seed}");
+        runtime::run(kill_in_turn(seed));
+    }
+}
+
+#[test]
+fn a_folder_in_use_is_refused() {
+    runtime::run(async {
+        let mut cluster = Cluster::new(1, 1000);
+        cluster.start(0);
+        let kept = cluster.handle(0).clone();
+        let again = cluster.try_start(0).unwrap_err();
+        let file: Arc<str> = cluster.data(0).join("lock").display().to_string().into();
+        assert_eq!(again, crate::log::OpenError::Locked { file });
+        kept.stop();
+        cluster.start(0);
+    });
+}
--- /dev/null
+++ b/src/log/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Tests of the log: files by properties, members by small clusters on loopback.
+
+mod bench;
+mod cluster;
+mod faults;
+mod files;
