--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod grant;
 pub mod ids;
 pub mod keys;
+pub mod log;
 pub mod notify;
 pub mod place;
 pub mod route;
