Never call a claim not run once another attempt of it was seen

Cause: a resend that waits for the outcome of another attempt asks again and again; when the control VMs stopped answering meanwhile, it was told that the record could not be put, which the caller hears as not-run. The other attempt may have run. Seen first as a test that failed now and then near the deadline.

Ruled out: asking on past the deadline; the caller has gone by then.

Change: an attempt that has seen another one ends as pending.

Conclusion: the test resend_that_saw_an_earlier_attempt_is_never_told_not_run, which comes with the entry VM's proxy, failed with 503 not-run before and passes now.

--- a/src/claim/desk.rs
+++ b/src/claim/desk.rs
@@ -72,15 +72,21 @@
             attempt: Arc::clone(&claim.attempt),
             forget_ms,
         };
+        let mut seen_other = false;
         loop {
             match self.send(&change, give_up).await {
                 Some(Applied::Begun) => return Begun::Mine,
                 Some(Applied::Ended { outcome }) => return Begun::Ended(outcome),
                 Some(Applied::Reused) => return Begun::Reused,
                 Some(Applied::Pending { .. }) if clock::now() + PENDING_DELAY < give_up => {
+                    seen_other = true;
                     monoio::time::sleep(PENDING_DELAY).await;
                 }
                 Some(_) => return Begun::Pending,
+                None if seen_other => {
+                    self.abort(claim);
+                    return Begun::Pending;
+                }
                 None => {
                     self.abort(claim);
                     return Begun::Unrecorded;
