Carry callers' requests to the owner of their key

Cause: an entry VM has routes, gates, claim records and an HTTP client, but nothing that takes a request through them.

Ruled out: hedging what is not idempotent; counting refusals by fence and failed connections against the retry budget, since after the loss of a server all of its keys' requests wait for the next owner and most would be given up; keeping the leave to send while a claim waits for another attempt's outcome, which lets resends block a server; a wait for route changes with every request, as each wait stays in the list of waiters until the next change.

Change: entry::proxy reads a request by its document, waits for owner and leave, puts a claim's record, looks the route up again right before the first byte and sorts what comes back. Only what is proved not to have run, or is idempotent, is sent again. An idempotent request without an answer goes out on a new connection as well, and follows its key to another owner. A claim is called done only once its outcome is recorded.

Three tests were seen to fail on a busy machine, as they slept instead of waiting for the owner to be reached; they wait now.

Conclusion: each verdict has a test with an owner or a control VM that fails.

--- a/examples/backend/server.rs
+++ b/examples/backend/server.rs
@@ -35,6 +35,8 @@
     pub(crate) mischief: Mischief,
     pub(crate) draining: Cell<bool>,
     pub(crate) drained: Cell<bool>,
+    /// Number of the last question for the lease.
+    pub(crate) beat: Cell<u64>,
     /// Wakes the heartbeat before its time.
     pub(crate) asked: Notify,
     slots: Semaphore,
@@ -86,6 +88,7 @@
             mischief: Mischief::default(),
             draining: Cell::default(),
             drained: Cell::default(),
+            beat: Cell::default(),
             asked: Notify::default(),
             slots: Semaphore::new(options.slots.max(1) as usize),
             running: Cell::default(),
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,3 @@
+//! The entry daemon.
+
+pub mod proxy;
--- /dev/null
+++ b/src/entry/proxy/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Requests through a proxy to fake owners, with real claim records.
+
+mod claims;
+mod fixture;
+mod requests;
+mod retries;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod delegate;
 pub mod document;
+pub mod entry;
 pub mod fields;
 pub mod grant;
 pub mod ids;
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -13,6 +13,7 @@
 pub mod json;
 pub mod limits;
 pub mod pool;
+pub mod race;
 
 pub mod server;
 pub mod socket;
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -1,13 +1,11 @@
 //! The answering side: one task for each connection.
 
 use std::cell::Cell;
-use std::future;
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -26,6 +24,7 @@
 use super::encode::Whole;
 use super::guard;
 use super::limits::Limits;
+use super::race::{self, Either};
 use super::socket::{self, Caller};
 use super::stop::{Member, Stop};
 
@@ -56,14 +55,14 @@
     let refusing = Rc::new(Cell::new(0));
     let mut member = stop.join();
     loop {
-        let accepted = race(pin!(listener.accept()), pin!(member.stopped())).await;
+        let accepted = race::race(pin!(listener.accept()), pin!(member.stopped())).await;
         match accepted {
-            None => return,
-            Some(Err(_)) => time::sleep(ACCEPT_PAUSE).await,
-            Some(Ok((stream, _))) if stop.open() > limits.connections => {
+            Either::Second(()) => return,
+            Either::First(Err(_)) => time::sleep(ACCEPT_PAUSE).await,
+            Either::First(Ok((stream, _))) if stop.open() > limits.connections => {
                 refuse(stream, &limits, &refusing);
             }
-            Some(Ok((stream, address))) => {
+            Either::First(Ok((stream, address))) => {
                 let connection = Connection::new(stream, address, &limits, stop.join());
                 let handler = Rc::clone(&handler);
                 monoio::spawn(async move {
@@ -170,9 +169,9 @@
         let reader = &mut self.reader;
         let mut peek = pin!(async { reader.peek_data().await.map(|bytes| bytes.len()) });
         let stopped = pin!(self.member.stopped());
-        let peeked = match time::timeout(limit, race(peek.as_mut(), stopped)).await {
-            Ok(Some(peeked)) => Ok(peeked),
-            Ok(None) => time::timeout(self.limits.leave, peek).await,
+        let peeked = match time::timeout(limit, race::race(peek.as_mut(), stopped)).await {
+            Ok(Either::First(peeked)) => Ok(peeked),
+            Ok(Either::Second(())) => time::timeout(self.limits.leave, peek).await,
             Err(elapsed) => Err(elapsed),
         };
         match peeked {
@@ -337,16 +336,3 @@
         _ => words.any(|w| w.eq_ignore_ascii_case(b"keep-alive")),
     }
 }
-
-/// Waits for `work` or the end of `other`; `None` if that came first.
-async fn race<W, O>(mut work: Pin<&mut W>, mut other: Pin<&mut O>) -> Option<W::Output>
-where
-    W: Future,
-    O: Future,
-{
-    future::poll_fn(|cx| match work.as_mut().poll(cx) {
-        Poll::Ready(output) => Poll::Ready(Some(output)),
-        Poll::Pending => other.as_mut().poll(cx).map(|_| None),
-    })
-    .await
-}
