Delegate: take duties over, carry them, move spans between zones

Cause: a delegation named a carrier, but nothing waited out the one before it or carried the duty. Ruled out: ending a duty that is missing from a renewal's answer, as that is also seen when the epoch went on; the view tells. Ruled out: taking silence for loss right after the leader itself was frozen. Change: Takeover (how long to wait, a pure function of voters' answers), Carrier and Held (compare the view with the duties carried, resign after a restart or on stop), events for the time line, Office notices its own gaps. World drives the real slices with loss, delay, reordering, freezes, restarts, cuts and leader changes: never two carriers, never two owners of a key, spans always covered, moved only when released or long idle.

--- a/src/delegate/appoint.rs
+++ b/src/delegate/appoint.rs
@@ -33,6 +33,9 @@
 /// Time from the first announcement of a service to its first delegation.
 const SETTLE: Duration = Duration::from_secs(1);
 
+/// Time between decisions after which this VM was frozen and has missed what it was told.
+const FROZEN: Duration = Duration::from_millis(100);
+
 /// Time after which a change that is still due is proposed again.
 const PROPOSE_AGAIN: Duration = Duration::from_millis(500);
 
@@ -69,6 +72,9 @@
 #[derive(Debug, Default)]
 pub struct Office {
     since: Option<Instant>,
+    decided: Option<Instant>,
+    /// Since when decisions were made without a gap.
+    awake: Option<Instant>,
     entries: BTreeMap<ids::VmName, HeardEntry>,
     first_heard: BTreeMap<ids::ServiceName, Instant>,
     pub(super) duties: BTreeMap<Key, Known>,
@@ -93,6 +99,7 @@
         services: &[Described],
     ) -> Vec<Change> {
         self.begin(leading_since);
+        self.notice_gap(now);
         self.learn(now, store);
         let mut changes = self.entry_changes(now, store);
         for described in services {
@@ -187,6 +194,13 @@
         }
     }
 
+    fn notice_gap(&mut self, now: Instant) {
+        if self.decided.is_none_or(|at| now > at + FROZEN) {
+            self.awake = Some(now);
+        }
+        self.decided = Some(now);
+    }
+
     fn learn(&mut self, now: Instant, store: &Store) {
         for delegation in store.all() {
             let key = key(delegation);
@@ -280,7 +294,8 @@
         delegation: &Delegation,
     ) -> Option<Change> {
         let known = self.duties.get(&key(delegation))?;
-        if known.standing == Standing::Resigned || now >= known.heard() + SILENCE {
+        let heard = self.awake.map_or(known.heard(), |at| at.max(known.heard()));
+        if known.standing == Standing::Resigned || now >= heard + SILENCE {
             let change = self.replaced(now, store, described, delegation)?;
             if let Some(known) = self.duties.get_mut(&key(delegation)) {
                 known.sink(Standing::Ousted);
@@ -370,6 +385,11 @@
     pub(super) const fn since(&self) -> Option<Instant> {
         self.since
     }
+
+    /// Since when decisions were made without a gap.
+    pub(super) const fn awake(&self) -> Option<Instant> {
+        self.awake
+    }
 }
 
 /// The key of a delegation.
--- a/src/delegate/balance.rs
+++ b/src/delegate/balance.rs
@@ -116,7 +116,8 @@
     delegation: &'a Delegation,
 ) -> Option<Zone<'a>> {
     let known = office.duties.get(&appoint::key(delegation))?;
-    let heard = known.renewed.max(office.since())?;
+    let heard = known.renewed.unwrap_or(known.since);
+    let heard = heard.max(office.awake()?);
     let lost = now >= heard + lost_after(described, delegation);
     let ready = known.ready(now);
     let empty = known.empty(now);
@@ -205,7 +206,7 @@
     if !zones.iter().any(|z| z.takes.is_some()) {
         return wanted;
     }
-    for zone in zones.iter().filter(|z| z.empty) {
+    for zone in zones.iter().filter(|z| z.empty && z.width > 0) {
         let spans = zone.delegation.map(|d| d.spans.clone());
         wanted.insert(Arc::clone(&zone.name), spans.unwrap_or_default());
     }
@@ -237,7 +238,8 @@
         let key = (Arc::clone(&described.service), Arc::clone(&z.name));
         office.filling.contains(&key)
     };
-    let lack = zones.iter().filter(fills).map(|z| z.part - z.width).max()?;
+    let lack = |z: &Zone<'_>| z.part.saturating_sub(z.width);
+    let lack = zones.iter().filter(fills).map(lack).max()?;
     let over = |z: &Zone<'_>| z.width.saturating_sub(z.part);
     let giver = zones.iter().max_by_key(|z| over(z))?;
     let delegation = giver.delegation?;
--- a/src/delegate/bar.rs
+++ b/src/delegate/bar.rs
@@ -9,11 +9,17 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use serde_json::value::RawValue;
+
 use super::appoint::Key;
 use super::messages::{BarAnswer, BarRequest};
 use super::view::View;
 use crate::clock;
 use crate::ids;
+use crate::rpc::{Answer, server};
+
+/// Method by which a voter is barred.
+pub const METHOD: &str = "delegate.bar";
 
 /// Epochs whose last vote is remembered, for each service and zone.
 const VOTES_KEPT: usize = 8;
@@ -58,6 +64,14 @@
         })
     }
 
+    /// Answers a call; `None` if the method belongs to another slice.
+    pub fn answer(&self, method: &str, body: &RawValue) -> Option<Answer> {
+        (method == METHOD).then(|| {
+            let request = server::params(body)?;
+            server::result(&self.bar(clock::now(), &request))
+        })
+    }
+
     /// Whether this VM may vote for that epoch now.
     pub fn may_vote(&self, view: &View, service: &str, zone: &str, epoch: ids::Epoch) -> bool {
         let current = view.delegation(service, zone).map(|d| d.epoch);
--- /dev/null
+++ b/src/delegate/events.rs
@@ -0,0 +1,56 @@
+//! Events of the time line about changes of the replicated state.
+
+use super::store::{Change, Share, Store};
+use crate::ids;
+use crate::timeline::Event;
+
+/// The event for a change that was just carried out; `None` where nobody would miss it.
+pub fn of(change: &Change, store: &Store) -> Option<Event> {
+    match change {
+        Change::First { service, shares } => {
+            let zones: Vec<_> = shares.iter().map(share).collect();
+            let event = Event::new("delegate.first").service(service);
+            Some(event.detail(&zones.join(", ")))
+        }
+        Change::Appoint {
+            service,
+            appointment,
+            resigned,
+            ..
+        } => {
+            let why = if *resigned { ", resigned" } else { "" };
+            let carrier = &appointment.carrier;
+            let event = at(store, "delegate.appoint", service, &appointment.zone);
+            Some(event.detail(&format!("carrier {carrier}{why}")))
+        }
+        Change::Move {
+            service,
+            from,
+            to,
+            spans,
+            ..
+        } => {
+            let event = at(store, "delegate.move", service, &to.zone);
+            Some(event.detail(&format!("{} spans of zone {from}", spans.len())))
+        }
+        Change::Drain(drain) => {
+            let event = Event::new("delegate.drain");
+            let event = event.service(&drain.service).server(&drain.server);
+            Some(event.detail(if drain.on { "on" } else { "off" }))
+        }
+        Change::Gone { vm } => Some(Event::new("delegate.gone").detail(vm)),
+        Change::Seen { .. } | Change::Settle { .. } => None,
+    }
+}
+
+fn at(store: &Store, kind: &str, service: &ids::ServiceName, zone: &ids::ZoneName) -> Event {
+    let event = Event::new(kind).service(service).zone(zone);
+    match store.delegation(service, zone) {
+        Some(delegation) => event.epoch(delegation.epoch),
+        None => event,
+    }
+}
+
+fn share(share: &Share) -> String {
+    format!("{} {}", share.appointment.zone, share.spans.len())
+}
--- a/src/delegate/known.rs
+++ b/src/delegate/known.rs
@@ -20,6 +20,8 @@
 pub(super) struct Known {
     pub(super) epoch: ids::Epoch,
     carrier: ids::VmName,
+    /// When the delegation was first seen.
+    pub(super) since: Instant,
     /// When this epoch was first seen.
     first: Instant,
     /// Last renewal answered under any epoch.
@@ -54,6 +56,7 @@
         Self {
             epoch: delegation.epoch,
             carrier: Arc::clone(&delegation.carrier),
+            since: now,
             first: now,
             renewed: None,
             number: 0,
@@ -77,6 +80,7 @@
         if between || self.standing == Standing::Resigned || self.carrier != delegation.carrier {
             let fresh = Self::new(now, delegation);
             *self = Self {
+                since: self.since,
                 renewed: self.renewed,
                 slots: self.slots,
                 ..fresh
@@ -87,8 +91,10 @@
         self.first = now;
         self.acting &= delegation.prior.is_empty();
         self.standing = Standing::Holds;
+        // The carrier may have begun anew, so what it reported before counts no more.
         self.asked.retain(|span, _| delegation.spans.contains(span));
-        self.released.retain(|span| delegation.spans.contains(span));
+        self.asked.values_mut().for_each(|asked| *asked = None);
+        self.released.clear();
     }
 
     /// When the carrier was last heard, or else this epoch first seen.
--- a/src/delegate/mod.rs
+++ b/src/delegate/mod.rs
@@ -14,20 +14,26 @@
 pub mod appoint;
 mod balance;
 pub mod bar;
+pub mod carrier;
 mod choose;
 pub mod desk;
+pub mod events;
+mod held;
 mod known;
 pub mod leader;
 pub mod messages;
 pub mod renew;
 pub mod right;
 pub mod store;
+pub mod takeover;
 #[cfg(test)]
 mod tests;
 pub mod view;
 pub mod watch;
 
 pub use appoint::Office;
+pub use bar::BarDesk;
+pub use carrier::Carrier;
 pub use messages::{Delegation, fence};
 pub use right::Right;
 pub use store::Store;
--- a/src/delegate/right.rs
+++ b/src/delegate/right.rs
@@ -59,13 +59,16 @@
 
     /// Until when the carrier may act; `None` if it may not act now.
     pub fn until(&self, now: Instant) -> Option<Instant> {
+        self.end().filter(|end| now < *end)
+    }
+
+    /// When the right ends or ended; `None` if it never held.
+    pub fn end(&self) -> Option<Instant> {
         let term_end = self.renewed? + self.term;
-        let end = match self.majority_end() {
-            Some(Majority::Own) => term_end,
-            Some(Majority::Until(end)) => end.min(term_end),
-            None => return None,
-        };
-        (now < end).then_some(end)
+        match self.majority_end()? {
+            Majority::Own => Some(term_end),
+            Majority::Until(end) => Some(end.min(term_end)),
+        }
     }
 
     /// Until when a majority of the votes is fresh.
--- a/src/delegate/tests/mod.rs
+++ b/src/delegate/tests/mod.rs
@@ -3,5 +3,8 @@
 mod desk;
 mod fixture;
 mod office;
+mod properties;
 mod right;
 mod store;
+mod takeover;
+mod world;
--- /dev/null
+++ b/src/delegate/tests/takeover.rs
@@ -0,0 +1,135 @@
+//! How long a new carrier waits for those before it.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use monoio::net::TcpListener;
+
+use super::fixture::{entry, ms};
+use crate::delegate::bar::BarDesk;
+use crate::delegate::carrier::ask_voters;
+use crate::delegate::messages::{BarAnswer, Delegation, Prior, WatchAnswer};
+use crate::delegate::takeover::Takeover;
+use crate::delegate::view::View;
+use crate::keys::Span;
+use crate::rpc::{serve, server};
+use crate::runtime;
+use crate::timeline::Journal;
+
+fn prior(epoch: u64, voters: &[&str], tiebreak: bool) -> Prior {
+    Prior {
+        epoch,
+        carrier: voters[0].into(),
+        voters: voters.iter().map(|v| (*v).into()).collect(),
+        tiebreak,
+        term: ms(5000),
+        resigned: false,
+    }
+}
+
+fn delegation(prior: Vec<Prior>) -> Delegation {
+    Delegation {
+        service: "s".into(),
+        zone: "z".into(),
+        epoch: 9,
+        carrier: "b".into(),
+        voters: vec!["b".into()],
+        tiebreak: false,
+        term: ms(5000),
+        spans: vec![Span::ALL],
+        prior,
+    }
+}
+
+fn voted(voted_ms: Option<u64>) -> BarAnswer {
+    BarAnswer {
+        voted_ms,
+        running_ms: 70,
+    }
+}
+
+#[test]
+fn without_a_majority_the_term_is_waited_for() {
+    let now = Instant::now();
+    let mut takeover = Takeover::new(now, &delegation(vec![prior(8, &["a", "b", "c"], false)]));
+    assert_eq!(takeover.end(), Some(now + ms(5020)));
+    takeover.answered(now + ms(10), &"b".into(), &voted(Some(4)));
+    assert_eq!(takeover.end(), Some(now + ms(5020)));
+    takeover.answered(now + ms(30), &"c".into(), &voted(Some(10)));
+    assert_eq!(takeover.end(), Some(now + ms(20 + 320)));
+    takeover.answered(now + ms(40), &"a".into(), &voted(Some(40)));
+    assert_eq!(takeover.end(), Some(now + ms(6 + 320)));
+}
+
+#[test]
+fn a_voter_that_just_started_may_have_voted_before() {
+    let now = Instant::now();
+    let mut takeover = Takeover::new(now, &delegation(vec![prior(8, &["a", "b"], true)]));
+    takeover.answered(now + ms(100), &"b".into(), &voted(None));
+    assert_eq!(takeover.end(), Some(now + ms(30 + 320)));
+}
+
+#[test]
+fn every_prior_carrier_is_waited_out_but_those_that_resigned() {
+    let now = Instant::now();
+    let resigned = Prior {
+        resigned: true,
+        ..prior(8, &["d", "e", "f"], false)
+    };
+    let first = delegation(vec![prior(7, &["a", "b"], true), resigned.clone()]);
+    let mut takeover = Takeover::new(now, &first);
+    assert_eq!(takeover.voters().len(), 2);
+    takeover.answered(now, &"b".into(), &voted(Some(0)));
+    assert_eq!(takeover.end(), Some(now + ms(320)));
+    let alone = Takeover::new(now, &delegation(vec![resigned]));
+    assert_eq!(alone.end(), Some(now));
+    assert_eq!(Takeover::new(now, &delegation(Vec::new())).end(), None);
+}
+
+#[test]
+fn a_higher_epoch_asks_again_but_keeps_the_time() {
+    let now = Instant::now();
+    let first = delegation(vec![prior(8, &["a", "c", "d"], false)]);
+    let takeover = Takeover::new(now, &first);
+    let second = delegation(vec![
+        prior(8, &["a", "c", "d"], false),
+        prior(9, &["b"], false),
+    ]);
+    let rebased = takeover.rebased(now + ms(1000), &second);
+    assert_eq!(rebased.end(), Some(now + ms(6020)));
+    let same = takeover.rebased(now + ms(1000), &first);
+    assert_eq!(same.end(), Some(now + ms(5020)));
+}
+
+#[test]
+fn voters_are_asked_over_the_network() {
+    runtime::run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let desk = Rc::new(BarDesk::new(Instant::now()));
+        let answering = Rc::clone(&desk);
+        let handler = move |method: Box<str>, body: Box<serde_json::value::RawValue>| {
+            let answer = answering.answer(&method, &body);
+            async move { answer.unwrap_or_else(|| Err(server::unknown(&method))) }
+        };
+        monoio::spawn(serve(listener, Journal::new("a".into()), handler));
+        let view = Rc::new(View::default());
+        let mut voter = entry("a", "z");
+        voter.peer = address;
+        view.take_in(WatchAnswer {
+            index: 1,
+            entries: vec![voter],
+            ..WatchAnswer::default()
+        });
+        let waiting = Takeover::new(Instant::now(), &delegation(vec![prior(8, &["a"], false)]));
+        let by_term = waiting.end();
+        let takeover = Rc::new(RefCell::new(waiting));
+        ask_voters(view, Journal::new("b".into()))(Rc::downgrade(&takeover), "a".into());
+        while takeover.borrow().end() == by_term {
+            monoio::time::sleep(ms(5)).await;
+        }
+        assert!(desk.barred("s", "z", 8));
+        assert!(!desk.barred("s", "z", 9));
+    });
+}
