Add the operators' client

Cause: operators drive the system only by documents, and need to see what is in force, who owns what, and why something is dark; scripts need exit codes and JSON that can be trusted when answers are lost.

Ruled out: giving up at the first lost answer, as a change carries an id and may be sent again; calling a change failed when a later control VM fails after an answer was lost, as the first attempt may have run; reading a damaged answer with status 200 as a failure, for the same reason.

Change: `agateyoke` with check, apply, show, history, diff, rollback, status, drain, timeline and metrics, one module each. A request goes from one control VM to the next, a named leader first, for five rounds. Exit codes 0 done, 1 refused or failed, 2 usage or wrong file, 3 conflict, 4 unknown. A conflict names who changed what since the base and how to go on. The likely name in a finding now ignores case and takes the start of a name.

Conclusion: stands against fakes of the VMs; not yet run against the daemons.

--- a/src/bin/agateyoke.rs
+++ b/src/bin/agateyoke.rs
@@ -1,2 +1,9 @@
-//! x
-fn main() {}
+//! The operators' client.
+
+use std::process;
+
+use agateyoke::client;
+
+fn main() {
+    process::exit(client::run());
+}
--- /dev/null
+++ b/src/client/check.rs
@@ -0,0 +1,37 @@
+//! `agateyoke check`: are documents right? Asks nobody.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use argh::FromArgs;
+use serde_json::json;
+
+use super::answer::{Answer, Failure};
+use crate::document::{self, Document};
+
+/// Check documents and report every fault. Asks no control VM.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Arguments {
+    /// the document
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// Runs the subcommand.
+pub fn run(arguments: &Arguments) -> Result<Answer, Failure> {
+    let document = load(&arguments.file)?;
+    let text = format!(
+        "{}: right, service {}",
+        arguments.file.display(),
+        document.service
+    );
+    let json = json!({ "file": arguments.file, "service": document.service, "findings": [] });
+    Ok(Answer::done(text, &json))
+}
+
+/// Reads a document from a file.
+pub(super) fn load(path: &Path) -> Result<Document, Failure> {
+    let text = fs::read_to_string(path).map_err(|e| Failure::unreadable(path, &e))?;
+    document::check(&text).map_err(|findings| Failure::file(path, findings))
+}
--- /dev/null
+++ b/src/client/rollback.rs
@@ -0,0 +1,55 @@
+//! `agateyoke rollback`: put an earlier version into force, as a new one.
+
+use argh::FromArgs;
+
+use super::answer::{Answer, Failure};
+use super::apply::{self, Order};
+use super::control::Control;
+use super::show;
+use crate::ids;
+
+/// Make a new version with the content of an earlier one.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "rollback")]
+pub struct Arguments {
+    /// name of the service
+    #[argh(positional)]
+    service: String,
+    /// version whose content is wanted
+    #[argh(option)]
+    to: ids::Version,
+    /// version that the rollback is made from; else the current one
+    #[argh(option)]
+    base: Option<ids::Version>,
+    /// id of the change, to send it again; else a random one
+    #[argh(option)]
+    change: Option<String>,
+    /// who makes the change; else taken from USER
+    #[argh(option)]
+    author: Option<String>,
+}
+
+/// Runs the subcommand.
+pub async fn run(arguments: &Arguments, control: &Control) -> Result<Answer, Failure> {
+    let (service, to) = (&arguments.service, arguments.to);
+    let wanted = show::fetch(control, service, Some(to)).await?;
+    let base = arguments.base.unwrap_or(wanted.current);
+    let change = apply::change_id(arguments.change.as_deref());
+    let author = apply::author(arguments.author.as_deref());
+    let again = format!(
+        "agateyoke rollback {service} --to {to} --base {base} --change {change} --author {author:?}"
+    );
+    let order = Order {
+        document: wanted.entry.document,
+        base,
+        change,
+        author,
+        dry_run: false,
+        again,
+        after_conflict: |order, version| {
+            let service = &order.document.service;
+            format!("see agateyoke history {service}; then roll back with --base {version}")
+        },
+    };
+    apply::send(&order, control).await
+}
--- /dev/null
+++ b/src/client/status.rs
@@ -0,0 +1,150 @@
+//! `agateyoke status`: who does what, what is in force, what is dark and why.
+
+use argh::FromArgs;
+
+use super::answer::{Answer, Failure};
+use super::control::Control;
+use super::output;
+use crate::control::api;
+
+/// Show control VMs, entry VMs, services, their owners and what is not served.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Arguments {
+    /// show this service only
+    #[argh(option)]
+    service: Option<String>,
+}
+
+/// Runs the subcommand.
+pub async fn run(arguments: &Arguments, control: &Control) -> Result<Answer, Failure> {
+    let mut status: api::Status = control.get("/v1/status").await?;
+    if let Some(service) = &arguments.service {
+        status.services.retain(|s| *s.service == **service);
+    }
+    let mut parts = vec![members(&status.control), entries(&status.entries)];
+    parts.extend(status.services.iter().map(service));
+    Ok(Answer::done(parts.join("\n\n"), &status))
+}
+
+fn members(members: &[api::MemberStatus]) -> String {
+    let row = |m: &api::MemberStatus| {
+        [
+            m.vm.to_string(),
+            output::or_dash(m.zone.as_ref()),
+            m.role.to_string(),
+            m.term.to_string(),
+            m.commit.to_string(),
+            disk(m),
+        ]
+    };
+    let rows: Vec<[String; 6]> = members.iter().map(row).collect();
+    output::table(
+        ["control VM", "zone", "role", "term", "commit", "disk"],
+        &rows,
+    )
+}
+
+fn disk(member: &api::MemberStatus) -> String {
+    match (&member.disk_fault, member.disk_bytes) {
+        (Some(fault), _) => format!("FAULT: {fault}"),
+        (None, Some(bytes)) => format!("{} KiB", bytes.div_ceil(1024)),
+        (None, None) => "-".to_owned(),
+    }
+}
+
+fn entries(entries: &[api::EntryStatus]) -> String {
+    let row = |e: &api::EntryStatus| {
+        [
+            e.vm.to_string(),
+            e.zone.to_string(),
+            e.index.to_string(),
+            format!("{} ms ago", e.heard_ms),
+            mark(e.stopping, "stopping"),
+        ]
+    };
+    let rows: Vec<[String; 5]> = entries.iter().map(row).collect();
+    output::table(
+        ["entry VM", "zone", "has log up to", "heard", "state"],
+        &rows,
+    )
+}
+
+fn service(service: &api::ServiceStatus) -> String {
+    let mut lines = vec![format!(
+        "service {}: version {}, change {}, {}",
+        service.service,
+        service.version,
+        service.change,
+        in_force(service)
+    )];
+    if service.zones.is_empty() {
+        lines.push("no availability zone has a part of its keys".to_owned());
+    } else {
+        lines.push(zones(&service.zones));
+        lines.push(servers(&service.zones));
+    }
+    for dark in &service.dark {
+        let share = format!("{}.{} %", dark.permille / 10, dark.permille % 10);
+        let zone = output::or_dash(dark.zone.as_ref());
+        let (spans, why) = (dark.spans, &dark.why);
+        lines.push(format!(
+            "DARK: {share} of its keys, {spans} spans, zone {zone}: {why}"
+        ));
+    }
+    lines.join("\n")
+}
+
+fn in_force(service: &api::ServiceStatus) -> String {
+    let all = u64::from(service.in_force).saturating_add(service.lagging.len() as u64);
+    let reached = format!("in force at {} of {all} entry VMs", service.in_force);
+    if service.lagging.is_empty() {
+        return reached;
+    }
+    format!("{reached}, not at {}", service.lagging.join(", "))
+}
+
+fn zones(zones: &[api::ZoneStatus]) -> String {
+    let row = |z: &api::ZoneStatus| {
+        [
+            z.zone.to_string(),
+            z.carrier.to_string(),
+            z.epoch.to_string(),
+            z.spans.to_string(),
+            z.renewed_ms
+                .map_or_else(|| "-".to_owned(), |ms| format!("{ms} ms ago")),
+        ]
+    };
+    let rows: Vec<[String; 5]> = zones.iter().map(row).collect();
+    output::table(["zone", "carrier", "epoch", "spans", "renewed"], &rows)
+}
+
+fn servers(zones: &[api::ZoneStatus]) -> String {
+    let row = |z: &api::ZoneStatus, s: &api::ServerStatus| {
+        [
+            s.server.to_string(),
+            z.zone.to_string(),
+            s.address.to_string(),
+            s.slots.to_string(),
+            s.spans.to_string(),
+            mark(s.checks, "yes"),
+            mark(s.draining, "draining"),
+        ]
+    };
+    let all = zones
+        .iter()
+        .flat_map(|z| z.servers.iter().map(move |s| row(z, s)));
+    let rows: Vec<[String; 7]> = all.collect();
+    let head = [
+        "server", "zone", "address", "slots", "spans", "checks", "state",
+    ];
+    output::table(head, &rows)
+}
+
+fn mark(is_set: bool, text: &str) -> String {
+    if is_set {
+        text.to_owned()
+    } else {
+        "-".to_owned()
+    }
+}
--- /dev/null
+++ b/src/client/tests.rs
@@ -0,0 +1,84 @@
+//! Tests of the client; its sessions are tested in `tests/`.
+
+use std::sync::Arc;
+
+use arbtest::arbtest;
+
+use super::{output, timeline};
+use crate::timeline::{Event, Stamp};
+
+#[test]
+fn dates_are_those_of_the_calendar() {
+    let days = [
+        (0, "1970-01-01"),
+        (951_782_400, "2000-02-29"),
+        (1_709_164_799, "2024-02-28"),
+        (1_735_689_599, "2024-12-31"),
+        (1_772_323_200, "2026-03-01"),
+        (4_107_542_400, "2100-03-01"),
+    ];
+    for (seconds, day) in days {
+        assert_eq!(&output::utc(seconds * 1000)[..10], day);
+    }
+    assert_eq!(output::utc(1_735_689_599_007), "2024-12-31T23:59:59.007Z");
+}
+
+#[test]
+fn columns_are_as_wide_as_their_widest_cell() {
+    let rows = [
+        ["é".to_owned(), "bbb".to_owned()],
+        ["cc".to_owned(), String::new()],
+    ];
+    let table = output::table(["a", "b"], &rows);
+    assert_eq!(table, "a   b\né   bbb\ncc");
+}
+
+/// Processes whose wall clocks differ send each other messages; whatever order
+/// their events come in, the merged order is the same and has no effect before
+/// its cause.
+#[test]
+fn merged_events_show_no_effect_before_its_cause() {
+    for i in 0..300_u64 {
+        arbtest(|u| {
+            let mut clocks = Vec::new();
+            for _ in 0..4 {
+                let lag_ms = u.int_in_range(0..=20_u64)?;
+                clocks.push((lag_ms, Stamp::default(), 0));
+            }
+            let mut events: Vec<Event> = Vec::new();
+            let mut causes: Vec<(u64, u64)> = Vec::new();
+            for wall_ms in 100..u.int_in_range(101..=160)? {
+                let (from, to) = (u.choose_index(4)?, u.choose_index(4)?);
+                let mut sent = None;
+                for at in [from, to] {
+                    let (lag_ms, last, seq) = &mut clocks[at];
+                    let heard = sent.unwrap_or_default();
+                    *last = (*last).max(heard).next(wall_ms / 4 - *lag_ms);
+                    *seq += 1;
+                    let number = events.len() as u64;
+                    causes.extend(sent.map(|_| (number - 1, number)));
+                    sent = Some(*last);
+                    events.push(Event {
+                        stamp: *last,
+                        seq: *seq,
+                        vm: Some(Arc::from(format!("vm-{at}"))),
+                        mono_us: number,
+                        ..Event::default()
+                    });
+                }
+            }
+            let mut reversed: Vec<Event> = events.iter().rev().cloned().collect();
+            timeline::merge(&mut events);
+            timeline::merge(&mut reversed);
+            assert_eq!(events, reversed);
+            let place = |number| events.iter().position(|e| e.mono_us == number);
+            assert!(
+                causes
+                    .iter()
+                    .all(|(cause, effect)| place(*cause) < place(*effect))
+            );
+            Ok(())
+        })
+        .seed(i << 32 | 512);
+    }
+}
--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -14,7 +14,8 @@
 //!
 //! Every daemon has `timeline` and `metrics`; the rest is for control VMs.
 //! Where only the leader can answer, another control VM says 503 [`NotLeader`]
-//! and has done nothing. An error without an own type has [`Failure`] as body.
+//! and has done nothing. A conflict is told only from the applied log, after a
+//! look for the change id, so that it holds for earlier attempts as well. An error without an own type has [`Failure`] as body.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/fields.rs
+++ b/src/fields.rs
@@ -19,6 +19,9 @@
 /// Edits that still make a name a likely typo of another, at most.
 const TYPO_EDITS: usize = 2;
 
+/// Bytes from which on the start of a name stands for it.
+const START_BYTES_MIN: usize = 3;
+
 /// One fault of a document or of settings.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finding {
@@ -222,9 +225,19 @@
     I: IntoIterator<Item = &'a str>,
 {
     let limit = TYPO_EDITS.min(name.chars().count() / 2);
+    let name = name.to_ascii_lowercase();
+    let distance = |candidate: &str| {
+        let candidate = candidate.to_ascii_lowercase();
+        let is_start = name.len() >= START_BYTES_MIN && candidate.starts_with(&name);
+        if is_start {
+            1
+        } else {
+            edits(&name, &candidate)
+        }
+    };
     candidates
         .into_iter()
-        .map(|c| (edits(name, c), c))
+        .map(|c| (distance(c), c))
         .filter(|(edits, _)| *edits <= limit)
         .min_by_key(|(edits, _)| *edits)
         .map(|(_, candidate)| candidate)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! A router for servers that own their keys exclusively.
 
 pub mod claim;
+pub mod client;
 pub mod clock;
 pub mod control;
 pub mod delegate;
