Preview changes, bound what check reads, ask again after a 504

Cause: a dry run should give the answer that the change would get, a known id included; a document with many ranks or a very long path cost time that grows with its square; control VMs answer 504 when leadership was lost meanwhile, and the client took that for its last word.

Ruled out: a limit on the size of the whole document in `check`, as the server bounds bodies already and a long document is not slow by itself.

Change: `Store::preview` shares the look at known ids with `apply`. `check` reads 16 ranks at most and paths below 512 bytes. The client goes on to the next control VM after 504 as after 503.

--- a/src/client/control.rs
+++ b/src/client/control.rs
@@ -41,6 +41,7 @@
 
 const STATUS_SERVER_FAILED: u16 = 500;
 const STATUS_UNAVAILABLE: u16 = 503;
+const STATUS_TIMED_OUT: u16 = 504;
 
 /// The control VMs of the system.
 #[derive(Clone, Debug)]
@@ -127,7 +128,7 @@
         while let Some(address) = next.pop_front() {
             let called = call::call(address, method.clone(), path, body.cloned(), CALL_TIMEOUT);
             match called.await {
-                Ok(reply) if reply.status != STATUS_UNAVAILABLE => return Some(reply),
+                Ok(reply) if !is_passing(&reply) => return Some(reply),
                 Ok(reply) => match attempts.unavailable(address, &reply) {
                     Some(leader) if leader != address && hints > 0 => {
                         hints -= 1;
@@ -149,7 +150,7 @@
         self.cause = format!("{address}: {error}");
     }
 
-    /// Takes a status 503 in; returns the leader if it is named.
+    /// Takes in that a control VM can't do it now; returns the leader if it is named.
     fn unavailable(&mut self, address: SocketAddr, reply: &Reply) -> Option<SocketAddr> {
         if let Ok(failure) = parse::<api::Failure>(reply) {
             self.may_have_run |= failure.may_have_run;
@@ -205,6 +206,11 @@
     }
 }
 
+/// Whether another control VM, or this one later, may give a better answer.
+fn is_passing(reply: &Reply) -> bool {
+    matches!(reply.status, STATUS_UNAVAILABLE | STATUS_TIMED_OUT)
+}
+
 /// Whether the answer holds for an earlier attempt as well that got none.
 fn is_definite(reply: &Reply) -> bool {
     matches!(reply.status, STATUS_OK | STATUS_WRONG | STATUS_CONFLICT)
--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -2,7 +2,7 @@
 //!
 //! | request | answer |
 //! | --- | --- |
-//! | `POST /v1/documents/{service}` with [`ApplyRequest`] | 200 [`Accepted`], 400 [`Refused`], 409 [`Conflict`], 409 [`Reused`], 503 [`NotLeader`] |
+//! | `POST /v1/documents/{service}` with [`ApplyRequest`] | 200 [`Accepted`], 400 [`Refused`], 409 [`Conflict`], 409 [`Reused`], 503 [`NotLeader`], 504 [`Failure`] |
 //! | `GET /v1/documents` | 200 [`Documents`] |
 //! | `GET /v1/documents/{service}` `[?version=N]` | 200 [`DocumentAnswer`], 404 |
 //! | `GET /v1/documents/{service}/history` | 200 [`History`], 404 |
--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -75,7 +75,7 @@
         report.add("ranks", &format!("{} names", list.len()), &allowed);
     }
     let mut ranks: Vec<&str> = Vec::new();
-    for (i, value) in list.iter().enumerate() {
+    for (i, value) in list.iter().enumerate().take(RANKS_MAX) {
         let path = format!("ranks[{i}]");
         match value.as_str() {
             Some(name) if ranks.contains(&name) => {
--- a/src/document/pattern.rs
+++ b/src/document/pattern.rs
@@ -24,8 +24,12 @@
     Query(Arc<str>),
 }
 
+/// Bytes of a path pattern, at most.
+const PATTERN_BYTES_MAX: usize = 512;
+
 /// What [`parse`] takes.
-pub const PATTERN_SYNTAX: &str = "a path such as /lockers/{locker}/release or /{rest..}";
+pub const PATTERN_SYNTAX: &str =
+    "a path such as /lockers/{locker}/release or /{rest..}, at most 512 bytes";
 
 /// What [`KeySource::parse`] takes.
 pub const KEY_SYNTAX: &str = "path:NAME, header:NAME or query:NAME";
@@ -33,8 +37,10 @@
 /// The segments of a path pattern; `None` if it has wrong syntax.
 pub fn parse(pattern: &str) -> Option<Vec<Segment>> {
     let path = pattern.strip_prefix('/')?;
-    if path.is_empty() {
-        return Some(Vec::new());
+    match path.len() {
+        0 => return Some(Vec::new()),
+        PATTERN_BYTES_MAX.. => return None,
+        _ => {}
     }
     let segments: Vec<Segment> = path.split('/').map(segment).collect::<Option<_>>()?;
     let (_, before) = segments.split_last()?;
--- a/src/document/store.rs
+++ b/src/document/store.rs
@@ -119,28 +119,30 @@
     /// Applies the change that stands at `index` of the log.
     pub fn apply(&mut self, index: ids::LogIndex, change: Change) -> Applied {
         let digest = digest(&change);
-        let versions = self
-            .services
-            .entry(Arc::clone(&change.service))
-            .or_default();
-        let remembered = versions
-            .remembered
-            .iter()
-            .rev()
-            .find(|r| r.change == change.change);
-        match remembered {
-            Some(r) if r.digest != digest => Applied::Reused,
-            Some(&Remembered {
-                version: Some(version),
-                index,
-                ..
-            }) => Applied::Same { version, index },
-            Some(_) => versions.conflict(),
+        let service = Arc::clone(&change.service);
+        let versions = self.services.entry(service).or_default();
+        match versions.known(&change.change, digest) {
+            Some(applied) => applied,
             None if change.base == versions.current() => versions.accept(index, change, digest),
             None => versions.refuse(index, change, digest),
         }
     }
 
+    /// What [`Store::apply`] would answer now; the index of a new version is given as 0.
+    pub fn preview(&self, change: &Change) -> Applied {
+        let none = Versions::default();
+        let versions = self.services.get(&change.service).unwrap_or(&none);
+        let current = versions.current();
+        match versions.known(&change.change, digest(change)) {
+            Some(applied) => applied,
+            None if change.base == current => Applied::Accepted {
+                version: current + 1,
+                index: 0,
+            },
+            None => versions.conflict(),
+        }
+    }
+
     /// Current version of a document.
     pub fn current(&self, service: &str) -> Option<&Entry> {
         self.services.get(service)?.history.back()
@@ -185,6 +187,23 @@
         self.history.back().map_or(0, |e| e.version)
     }
 
+    /// The first answer to a change; `None` if its id is new.
+    fn known(&self, change: &str, digest: u64) -> Option<Applied> {
+        let remembered = self
+            .remembered
+            .iter()
+            .rev()
+            .find(|r| &*r.change == change)?;
+        Some(match remembered.version {
+            _ if remembered.digest != digest => Applied::Reused,
+            Some(version) => Applied::Same {
+                version,
+                index: remembered.index,
+            },
+            None => self.conflict(),
+        })
+    }
+
     fn accept(&mut self, index: ids::LogIndex, change: Change, digest: u64) -> Applied {
         let version = self.current() + 1;
         self.remember(Remembered {
--- a/src/document/tests.rs
+++ b/src/document/tests.rs
@@ -72,7 +72,12 @@
                 Some((sent, _)) if u.ratio(3, 4)? => sent.clone(),
                 _ => fresh,
             };
+            let preview = match store.preview(&change) {
+                Applied::Accepted { version, .. } => Applied::Accepted { version, index },
+                other => other,
+            };
             let applied = store.apply(index, change.clone());
+            assert_eq!(applied, preview);
             let known = first.get(&change.change);
             match (&applied, known) {
                 (&Applied::Accepted { version, index: at }, None) => {
@@ -325,6 +330,20 @@
     Ok(())
 }
 
+#[test]
+fn check_bounds_depth_and_length() {
+    let nested = "[".repeat(1 << 20);
+    assert_eq!(check(&nested).unwrap_err().len(), 1);
+    let ranks: Vec<String> = (0..100_000).map(|i| format!("rank-{i}")).collect();
+    let mut value: Value = serde_json::from_str(EXAMPLES[0]).unwrap();
+    value["ranks"] = ranks.into();
+    value["routes"][0]["path"] = "/a".repeat(100_000).into();
+    let findings = check(&value.to_string()).unwrap_err();
+    let shown: usize = findings.iter().map(|f| f.to_string().len()).sum();
+    assert_eq!((findings.len(), shown < 5000), (7, true));
+    assert!(findings.iter().any(|f| &*f.path == "routes[0].path"));
+}
+
 /// Whatever is written, `check` answers; what it takes can be read and routed.
 #[test]
 fn check_answers_to_any_mutation() {
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::Path;
 
-use super::logging::Level;
+use super::logging::{self, Level, Logging, LoggingError};
 use super::{control, entry};
 
 fn example(name: &str) -> std::path::PathBuf {
@@ -85,3 +85,26 @@
         "{line}"
     );
 }
+
+#[test]
+fn each_event_is_one_line_of_pairs() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("entry.log");
+    let settings = Logging {
+        level: Level::Info,
+        file: Some(file.clone()),
+    };
+    logging::start(&settings).unwrap();
+    log::debug!("event=hidden");
+    log::info!("event=test.shown vm=\"entry-1\"");
+    assert_eq!(logging::start(&settings), Err(LoggingError::Twice));
+    let text = fs::read_to_string(&file).unwrap();
+    let line = text
+        .lines()
+        .find(|line| line.contains("test.shown"))
+        .unwrap();
+    let (time, rest) = line.split_once(' ').unwrap();
+    assert_eq!(rest, "level=INFO event=test.shown vm=\"entry-1\"");
+    assert!(time.starts_with("time=20") && time.ends_with('Z'), "{time}");
+    assert!(!text.contains("event=hidden"));
+}
--- a/tests/client_session.rs
+++ b/tests/client_session.rs
@@ -224,7 +224,7 @@
     let lost = Fake::start((0..5).map(|_| Step::Lose).collect());
     let then_failed = Fake::start(vec![Step::Lose, failed()]);
     let unreadable = Fake::start(vec![Step::Answer(200, "{".to_owned())]);
-    let unsure = Fake::start((0..5).map(|_| reply(503, &unsure)).collect());
+    let unsure = Fake::start((0..5).map(|i| reply(503 + i % 2, &unsure)).collect());
     let mut text = String::new();
     for fake in [lost, then_failed, unreadable, unsure] {
         let command = "apply right.json --base 4 --change c-9 --author ines";
