--- a/src/log/disk.rs
+++ b/src/log/disk.rs
@@ -6,6 +6,7 @@
 
 use std::fs::{self, File};
 use std::io::{self, Write};
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::pin::Pin;
 use std::sync::mpsc;
@@ -175,6 +176,9 @@
         };
         file.write_all(&frame)?;
         file.sync_data()?;
+        if file.metadata()?.nlink() == 0 {
+            return Err(io::Error::other("the segment was removed from its folder"));
+        }
         self.file = Some(file);
         self.size += frame.len() as u64;
         let highest = entries.iter().map(|e| e.index).max().unwrap_or(0);
--- a/src/log/election.rs
+++ b/src/log/election.rs
@@ -219,6 +219,7 @@
         voter && known && state.accepts(&succeed.route) && state.term() == succeed.route.term
     };
     if leads {
+        node.record("log.succeeds", &succeed.route.vm);
         let node = Rc::clone(node);
         monoio::spawn(async move { campaign(&node, true).await });
     }
--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -58,6 +58,8 @@
     pub vm: ids::VmName,
     /// Its disk.
     pub disk: DiskId,
+    /// Disk that formed the cluster; names it for ever.
+    pub cluster: Option<DiskId>,
     /// Its part.
     pub role: Role,
     /// Current term.
@@ -74,6 +76,8 @@
     pub snapshot: ids::LogIndex,
     /// All members.
     pub members: Vec<MemberStatus>,
+    /// Whether these members are committed; until then those before them count too.
+    pub settled: bool,
     /// Whether the log has stopped on this VM.
     pub stopped: bool,
 }
@@ -127,6 +131,7 @@
         Status {
             vm: Arc::clone(&self.node.config.vm),
             disk: Arc::clone(&state.disk),
+            cluster: state.log.members().map(|m| Arc::clone(&m.founder)),
             role: state.role,
             term: state.term(),
             leader: state.leader.as_ref().map(|l| Arc::clone(&l.vm)),
@@ -135,6 +140,7 @@
             last: state.log.last(),
             snapshot: state.log.covered(),
             members: members.map(|s| member_status(&state, s)).collect(),
+            settled: state.log.members_index() <= state.commit,
             stopped: state.stopped,
         }
     }
@@ -192,7 +198,7 @@
         let without = |_: &State, members: &super::model::Membership| {
             let mut members = members.clone();
             members.seats.retain(|s| s.vm != *vm);
-            Some(members)
+            members::Edit::Make(members)
         };
         if members::change(&self.node, term, without).await {
             Ok(())
--- a/src/log/members.rs
+++ b/src/log/members.rs
@@ -227,7 +227,7 @@
 
 async fn admit_disk(node: Rc<Node>, seat: Seat, term: ids::LogTerm) {
     node.record("log.admitting", &format!("{} disk {}", seat.vm, seat.disk));
-    let done = change(&node, term, |_, m| Some(with_learner(m, &seat))).await
+    let done = change(&node, term, |_, m| Edit::Make(with_learner(m, &seat))).await
         && change(&node, term, |s, m| without_lost(s, m, &seat)).await
         && change(&node, term, |s, m| with_voter(s, m, &seat)).await;
     let mut state = node.state_mut();
@@ -253,27 +253,35 @@
 }
 
 /// Removes the lost voter of a VM once the new disk holds all that is committed.
-fn without_lost(state: &State, members: &Membership, seat: &Seat) -> Option<Membership> {
+fn without_lost(state: &State, members: &Membership, seat: &Seat) -> Edit {
     if !has_caught_up(state, seat) {
-        return None;
+        return wait_for(members, seat);
     }
     let mut members = members.clone();
     members
         .seats
         .retain(|s| s.vm != seat.vm || s.disk == seat.disk);
-    Some(members)
+    Edit::Make(members)
 }
 
 /// Makes a disk a voter once it holds all that is committed.
-fn with_voter(state: &State, members: &Membership, seat: &Seat) -> Option<Membership> {
+fn with_voter(state: &State, members: &Membership, seat: &Seat) -> Edit {
     if !has_caught_up(state, seat) {
-        return None;
+        return wait_for(members, seat);
     }
     let mut members = members.clone();
     for own in members.seats.iter_mut().filter(|s| s.disk == seat.disk) {
         own.voter = true;
     }
-    Some(members)
+    Edit::Make(members)
+}
+
+/// Waits for a disk, unless another has taken its seat.
+fn wait_for(members: &Membership, seat: &Seat) -> Edit {
+    match members.seat(&seat.disk) {
+        Some(_) => Edit::Wait,
+        None => Edit::GiveUp,
+    }
 }
 
 fn has_caught_up(state: &State, seat: &Seat) -> bool {
@@ -281,6 +289,16 @@
     progress.is_some_and(|p| p.matched >= state.commit)
 }
 
+/// What is to be done about members.
+pub(super) enum Edit {
+    /// It is too early.
+    Wait,
+    /// There is nothing left to change.
+    GiveUp,
+    /// These are the new members.
+    Make(Membership),
+}
+
 /// Outcome of a look at a change.
 enum Step {
     Wait,
@@ -289,11 +307,9 @@
 }
 
 /// Makes one change of members as soon as it is allowed; true once it is committed.
-///
-/// `edit` gives the new members, or `None` while it is too early.
 pub(super) async fn change<F>(node: &Rc<Node>, term: ids::LogTerm, edit: F) -> bool
 where
-    F: Fn(&State, &Membership) -> Option<Membership>,
+    F: Fn(&State, &Membership) -> Edit,
 {
     let mut appended = None;
     loop {
@@ -312,7 +328,7 @@
     appended: &mut Option<ids::LogIndex>,
 ) -> Step
 where
-    F: Fn(&State, &Membership) -> Option<Membership>,
+    F: Fn(&State, &Membership) -> Edit,
 {
     let mut state = node.state_mut();
     if !state.leads(term) {
@@ -330,9 +346,10 @@
         return Step::Wait;
     };
     match edit(&state, members) {
-        None => Step::Wait,
-        Some(new) if new == *members => Step::Committed,
-        Some(new) => {
+        Edit::Wait => Step::Wait,
+        Edit::GiveUp => Step::Lost,
+        Edit::Make(new) if new == *members => Step::Committed,
+        Edit::Make(new) => {
             *appended = Some(state.add(Body::Members(new)));
             drop(state);
             replicate::start_links(node);
--- a/src/log/replicate.rs
+++ b/src/log/replicate.rs
@@ -140,6 +140,9 @@
             self.node.yield_to(answer.term);
             return;
         }
+        if answer.outcome == Outcome::Later {
+            return;
+        }
         self.update(|p| {
             p.heard = p.heard.max(sent);
             match answer.outcome {
@@ -218,36 +221,43 @@
 }
 
 async fn beat(link: Rc<Link>) {
-    while link.is_live() {
-        let sent = clock::now();
+    while let Some(beat) = next_beat(&link) {
         let round = link.node.state().round;
-        if let Some(beat) = next_beat(&link) {
-            let call = link
-                .peer
-                .call::<_, Beaten>(messages::BEAT, &beat, BEAT_TIMEOUT);
-            match call.await {
-                Ok(answer) if answer.term > link.term => link.node.yield_to(answer.term),
-                Ok(answer) if answer.follows => {
-                    link.update(|p| {
-                        p.heard = p.heard.max(sent);
-                        p.round = p.round.max(round);
-                    });
-                    link.node.advance();
-                }
-                Ok(_) | Err(_) => {}
-            }
-        }
-        if link.node.state().round == round {
+        if !send_beat(&link, &beat, round).await {
+            monoio::time::sleep(HEARTBEAT).await;
+        } else if link.node.state().round == round {
             link.node.asked.wait(HEARTBEAT).await;
-        } else if clock::now() < sent + Duration::from_millis(1) {
-            monoio::time::sleep(Duration::from_millis(1)).await;
         }
     }
 }
 
+/// Sends a heartbeat that answers for `round`; false if it was not followed.
+async fn send_beat(link: &Link, beat: &Beat, round: u64) -> bool {
+    let sent = clock::now();
+    let call = link
+        .peer
+        .call::<_, Beaten>(messages::BEAT, beat, BEAT_TIMEOUT);
+    let Ok(answer) = call.await else { return false };
+    if answer.term > link.term {
+        link.node.yield_to(answer.term);
+    }
+    if answer.follows {
+        link.update(|p| {
+            p.heard = p.heard.max(sent);
+            p.round = p.round.max(round);
+        });
+        link.node.advance();
+    }
+    answer.follows
+}
+
+/// The next heartbeat; `None` once this link has no more work.
 fn next_beat(link: &Link) -> Option<Beat> {
     let route = link.node.route(link.disk(), link.term)?;
     let state = link.node.state();
+    if !state.leads(link.term) {
+        return None;
+    }
     let progress = state.progress.get(link.disk())?;
     Some(Beat {
         route,
--- a/src/log/tests/bench.rs
+++ b/src/log/tests/bench.rs
@@ -196,12 +196,13 @@
         );
     }
 
-    /// Waits until just these disks vote, as `by` sees it, and nobody learns.
+    /// Waits until it is committed that just these disks vote and nobody learns.
     pub(super) async fn voters(&self, by: usize, disks: &[Arc<str>]) {
         until("voters", || {
-            let members = self.handle(by).status().members;
-            let settled = members.len() == disks.len() && members.iter().all(|m| m.voter);
-            settled && disks.iter().all(|d| members.iter().any(|m| m.disk == *d))
+            let status = self.handle(by).status();
+            let members = status.members;
+            let voters = members.len() == disks.len() && members.iter().all(|m| m.voter);
+            status.settled && voters && disks.iter().all(|d| members.iter().any(|m| m.disk == *d))
         })
         .await;
     }
@@ -212,6 +213,11 @@
             .collect()
     }
 
+    /// Disk that names the cluster.
+    pub(super) fn founder(&self) -> Arc<str> {
+        self.handle(0).status().cluster.unwrap()
+    }
+
     pub(super) fn role(&self, number: usize) -> Role {
         self.handle(number).status().role
     }
--- a/src/log/tests/faults.rs
+++ b/src/log/tests/faults.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use super::bench::{Cluster, until};
-use crate::log::messages::{self, Ballot, Route, Voted};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::log::messages::{self, Ballot, Beat, Beaten, Blank, Condition, Route, Voted};
 use crate::log::{ProposeError, Role};
 use crate::runtime;
 
@@ -80,8 +83,8 @@
         propose_many(&cluster, "b", 25, NOBODY).await;
         cluster.kill(lost);
         cluster.lose_disk(lost);
-        cluster.isolate(behind, false);
         cluster.start(lost);
+        cluster.isolate(behind, false);
         let leader = cluster.leader().await;
         cluster.voters(leader, &cluster.disks()).await;
         cluster.kill(first);
@@ -95,39 +98,124 @@
     });
 }
 
+/// Calls a member directly, without any link.
+async fn ask<Q, A>(cluster: &Cluster, vm: usize, method: &str, request: &Q) -> A
+where
+    Q: Serialize,
+    A: DeserializeOwned,
+{
+    let body = serde_json::value::to_raw_value(request).unwrap();
+    let answer = cluster.handle(vm).answer(method, &body).await;
+    serde_json::from_str(answer.unwrap().unwrap().get()).unwrap()
+}
+
+/// A ballot that wins any vote not yet given.
+fn ballot(cluster: &Cluster, candidate: usize, voter: usize) -> Ballot {
+    let (from, to) = (
+        cluster.handle(candidate).status(),
+        cluster.handle(voter).status(),
+    );
+    Ballot {
+        route: Route {
+            cluster: cluster.founder(),
+            term: 100,
+            vm: from.vm,
+            from: from.disk,
+            to: to.disk,
+        },
+        last: 1000,
+        last_term: 99,
+        pre: false,
+        asked: false,
+    }
+}
+
 #[test]
 fn a_blank_disk_casts_no_vote_of_the_lost_one() {
     runtime::run(async {
         let mut cluster = Cluster::formed(3, 1000).await;
-        let leader = cluster.leader().await;
-        let (lost, other) = ((leader + 1) % 3, (leader + 2) % 3);
-        let old = cluster.handle(lost).status().disk;
-        let founder = cluster.handle(0).status().disk;
-        let candidate = cluster.handle(other).status();
+        let ballot = ballot(&cluster, 2, 1);
         (0..3).for_each(|n| cluster.kill(n));
-        cluster.lose_disk(lost);
-        cluster.start(lost);
-        assert_ne!(cluster.handle(lost).status().disk, old);
-        let ballot = Ballot {
-            route: Route {
-                cluster: founder,
-                term: candidate.term + 10,
-                vm: candidate.vm,
-                from: candidate.disk,
-                to: old,
-            },
-            last: candidate.last,
-            last_term: candidate.term,
-            pre: false,
-            asked: false,
-        };
-        let body = serde_json::value::to_raw_value(&ballot).unwrap();
-        let answer = cluster.handle(lost).answer(messages::VOTE, &body).await;
-        let voted: Voted = serde_json::from_str(answer.unwrap().unwrap().get()).unwrap();
+        cluster.lose_disk(1);
+        cluster.start(1);
+        assert_ne!(cluster.handle(1).status().disk, ballot.route.to);
+        let voted: Voted = ask(&cluster, 1, messages::VOTE, &ballot).await;
         assert!(!voted.granted);
     });
 }
 
+#[test]
+fn a_vote_is_not_given_twice_after_a_restart() {
+    runtime::run(async {
+        let mut cluster = Cluster::formed(3, 1000).await;
+        let (first, second) = (ballot(&cluster, 2, 1), ballot(&cluster, 0, 1));
+        (0..3).for_each(|n| cluster.kill(n));
+        cluster.start(1);
+        let voted: Voted = ask(&cluster, 1, messages::VOTE, &first).await;
+        assert!(voted.granted);
+        cluster.kill(1);
+        cluster.start(1);
+        let voted: Voted = ask(&cluster, 1, messages::VOTE, &second).await;
+        assert_eq!(
+            voted,
+            Voted {
+                term: 100,
+                granted: false
+            }
+        );
+        let voted: Voted = ask(&cluster, 1, messages::VOTE, &first).await;
+        assert!(voted.granted);
+    });
+}
+
+#[test]
+fn a_blank_disk_follows_only_the_founder_that_asked_last() {
+    runtime::run(async {
+        let mut cluster = Cluster::new(2, 1000);
+        cluster.start(1);
+        for founder in ["lost", "new"] {
+            let blank = Blank {
+                founder: Some(founder.into()),
+            };
+            let _: Condition = ask(&cluster, 1, messages::BLANK, &blank).await;
+        }
+        let to = cluster.handle(1).status().disk;
+        let route = |founder: &str| Route {
+            cluster: founder.into(),
+            term: 1,
+            vm: "c0".into(),
+            from: founder.into(),
+            to: Arc::clone(&to),
+        };
+        for (founder, followed) in [("lost", false), ("new", true)] {
+            let beat = Beat {
+                route: route(founder),
+                commit: 0,
+            };
+            let answer: Beaten = ask(&cluster, 1, messages::BEAT, &beat).await;
+            assert_eq!(answer.follows, followed, "{founder}");
+        }
+    });
+}
+
+#[test]
+fn a_member_whose_folder_is_removed_stops_and_the_others_go_on() {
+    runtime::run(async {
+        let cluster = Cluster::formed(3, 1000).await;
+        cluster.propose("a", NOBODY).await;
+        let leader = cluster.leader().await;
+        std::fs::remove_dir_all(cluster.data(leader)).unwrap();
+        let answer = cluster.handle(leader).propose(b"b".to_vec()).await;
+        assert!(answer.is_ok() || answer == Err(ProposeError::Unsure));
+        until("a stop", || cluster.handle(leader).status().stopped).await;
+        cluster.propose("c", leader).await;
+        assert_eq!(
+            cluster.handle(leader).propose(b"d".to_vec()).await,
+            Err(ProposeError::Stopped)
+        );
+    });
+}
+
 #[test]
 fn a_blank_founder_forms_no_second_cluster() {
     runtime::run(async {
@@ -180,6 +268,7 @@
         cluster.handle(old).step_down().await;
         let new = cluster.leader_but(old).await;
         assert_eq!(cluster.handle(new).status().term, term + 1);
+        assert_eq!(cluster.events(new, "log.succeeds"), 1);
         cluster.propose("b", NOBODY).await;
         cluster.agree(&[0, 1, 2], 6).await;
     });
--- a/src/log/tests/mod.rs
+++ b/src/log/tests/mod.rs
@@ -4,3 +4,4 @@
 mod cluster;
 mod faults;
 mod files;
+mod rules;
