Run the control daemon: replicated state, answers, the leader's work, operators

Cause: the slices had no process to run in. Ruled out: a stale answer from a VM cut off: every answer that could be outdated follows a round to a majority. Change: control daemon, operator port, settings start-up, signals; the backend stand-in numbers its heartbeats.

--- a/examples/backend/heartbeat.rs
+++ b/examples/backend/heartbeat.rs
@@ -100,9 +100,11 @@
 fn question(server: &Server, now: std::time::Instant) -> LeaseRequest {
     let options = &server.options;
     let mut lease = server.lease.borrow_mut();
+    server.beat.set(server.beat.get() + 1);
     LeaseRequest {
         server: Arc::clone(&options.name),
         incarnation: Arc::clone(&server.incarnation),
+        beat: server.beat.get(),
         service: Arc::clone(&options.service),
         zone: Arc::clone(&options.zone),
         address: options.listen,
--- a/examples/backend/server.rs
+++ b/examples/backend/server.rs
@@ -37,6 +37,8 @@
     pub(crate) drained: Cell<bool>,
     /// Wakes the heartbeat before its time.
     pub(crate) asked: Notify,
+    /// Number of the last heartbeat.
+    pub(crate) beat: Cell<u64>,
     slots: Semaphore,
     running: Cell<u32>,
     waiting: Cell<u32>,
@@ -87,6 +89,7 @@
             draining: Cell::default(),
             drained: Cell::default(),
             asked: Notify::default(),
+            beat: Cell::new(0),
             slots: Semaphore::new(options.slots.max(1) as usize),
             running: Cell::default(),
             waiting: Cell::default(),
--- /dev/null
+++ b/src/control/answer.rs
@@ -0,0 +1,84 @@
+//! Answers to the calls of other processes.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use serde_json::value::RawValue;
+
+use super::about::{self, About};
+use super::command::{Applied, Command};
+use super::daemon::{Control, Seen};
+use super::propose;
+use crate::clock;
+use crate::delegate::messages::WatchRequest;
+use crate::delegate::watch;
+use crate::rpc::{Answer, Fault, error, server};
+
+/// Answers one call.
+///
+/// # Errors
+///
+/// A fault that says whether the call may have had an effect.
+pub async fn answer(control: Rc<Control>, method: Box<str>, body: Box<RawValue>) -> Answer {
+    if let Some(answer) = control.log.answer(&method, &body).await {
+        return answer;
+    }
+    let answer = control.desk.answer(&method, &body).await;
+    match (&*method, answer) {
+        (watch::METHOD, Some(Ok(answer))) => {
+            note(&control, &body)?;
+            Ok(answer)
+        }
+        (_, Some(answer)) => answer,
+        ("claim.change", None) => claim(&control, &body).await,
+        (about::METHOD, None) => server::result(&about(&control)),
+        (other, None) => Err(server::unknown(other)),
+    }
+}
+
+/// Notes what an entry VM has taken in.
+fn note(control: &Control, body: &RawValue) -> Result<(), Fault> {
+    let request: WatchRequest = server::params(body)?;
+    let seen = Seen {
+        at: clock::now(),
+        have: request.have,
+    };
+    control.seen.borrow_mut().insert(request.entry.vm, seen);
+    Ok(())
+}
+
+async fn claim(control: &Control, body: &RawValue) -> Answer {
+    let command = Command::Claim(server::params(body)?);
+    match propose::propose(&control.log, &command).await {
+        Ok(Applied::Claim(applied)) => server::result(&applied),
+        Ok(_) => Err(Fault::new(
+            error::BAD_REQUEST,
+            "the command could not be read",
+        )),
+        Err(error) => Err(propose::fault(&error)),
+    }
+}
+
+/// This VM as it sees itself.
+pub fn about(control: &Control) -> About {
+    let status = control.log.status();
+    About {
+        vm: Arc::clone(&control.settings.vm),
+        zone: Arc::clone(&control.settings.zone),
+        operator: control.settings.operator,
+        role: format!("{:?}", status.role).to_lowercase().into(),
+        term: status.term,
+        commit: status.commit,
+        disk: status.disk,
+        disk_bytes: folder_bytes(&control.settings.data),
+        stopped: status.stopped,
+    }
+}
+
+fn folder_bytes(folder: &std::path::Path) -> Option<u64> {
+    let files = std::fs::read_dir(folder).ok()?;
+    let sizes = files
+        .filter_map(|f| f.ok()?.metadata().ok())
+        .map(|m| m.len());
+    Some(sizes.sum())
+}
--- /dev/null
+++ b/src/control/state.rs
@@ -0,0 +1,102 @@
+//! The replicated state: the stores of the slices side by side.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::command::{Applied, Command};
+use crate::claim;
+use crate::delegate;
+use crate::document;
+use crate::ids;
+use crate::log;
+use crate::notify::Notify;
+
+/// The state of this control VM, as far as its log is applied; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    /// Documents.
+    pub documents: Rc<RefCell<document::store::Store>>,
+    /// Delegations and entry VMs.
+    pub delegations: Rc<RefCell<delegate::Store>>,
+    /// Claim records.
+    pub claims: Rc<RefCell<claim::Store>>,
+    /// Wakes when a command was applied.
+    pub changed: Rc<Notify>,
+    applied: Rc<Cell<ids::LogIndex>>,
+}
+
+/// The state as a snapshot holds it.
+#[derive(Serialize, Deserialize)]
+struct Image {
+    documents: document::store::Store,
+    delegations: delegate::Store,
+    claims: claim::Store,
+}
+
+impl State {
+    /// Log position up to which this state reflects the log.
+    pub fn applied(&self) -> ids::LogIndex {
+        self.applied.get()
+    }
+
+    /// The state as the machine of the replicated log.
+    pub fn machine(&self) -> log::Machine {
+        let (apply, snapshot, restore) = (self.clone(), self.clone(), self.clone());
+        log::Machine {
+            apply: Box::new(move |index, payload| apply.apply(index, payload)),
+            snapshot: Box::new(move || snapshot.snapshot()),
+            restore: Box::new(move |index, image| restore.restore(index, image)),
+        }
+    }
+
+    /// Carries out a command and gives its encoded outcome.
+    pub fn apply(&self, index: ids::LogIndex, payload: &[u8]) -> Vec<u8> {
+        let applied = match serde_json::from_slice(payload) {
+            Ok(command) => self.carry_out(index, command),
+            Err(_) => Applied::Unreadable,
+        };
+        self.applied.set(index);
+        self.changed.wake();
+        serde_json::to_vec(&applied).unwrap_or_default()
+    }
+
+    /// Writes the state out.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let image = Image {
+            documents: self.documents.borrow().clone(),
+            delegations: self.delegations.borrow().clone(),
+            claims: self.claims.borrow().clone(),
+        };
+        serde_json::to_vec(&image).unwrap_or_default()
+    }
+
+    /// Replaces the state by one written out at `index`.
+    ///
+    /// # Errors
+    ///
+    /// Says what is wrong with the image; the state is unchanged then.
+    pub fn restore(&self, index: ids::LogIndex, image: &[u8]) -> Result<(), Arc<str>> {
+        let image: Image = serde_json::from_slice(image).map_err(|e| Arc::from(e.to_string()))?;
+        *self.documents.borrow_mut() = image.documents;
+        *self.delegations.borrow_mut() = image.delegations;
+        *self.claims.borrow_mut() = image.claims;
+        self.applied.set(index);
+        self.changed.wake();
+        Ok(())
+    }
+
+    fn carry_out(&self, index: ids::LogIndex, command: Command) -> Applied {
+        match command {
+            Command::Document(change) => {
+                Applied::Document(self.documents.borrow_mut().apply(index, change))
+            }
+            Command::Delegate(change) => {
+                Applied::Delegate(self.delegations.borrow_mut().apply(index, change))
+            }
+            Command::Claim(change) => Applied::Claim(self.claims.borrow_mut().apply(change)),
+        }
+    }
+}
--- a/src/grant/overview.rs
+++ b/src/grant/overview.rs
@@ -29,6 +29,8 @@
 pub struct ServerLine {
     /// Name.
     pub server: ids::ServerName,
+    /// Address for requests.
+    pub address: std::net::SocketAddr,
     /// Start.
     pub incarnation: ids::Incarnation,
     /// Whether its lease runs.
--- a/src/grant/state.rs
+++ b/src/grant/state.rs
@@ -783,6 +783,7 @@
         let keys: u64 = own.iter().map(|p| p.span.width()).sum();
         ServerLine {
             server: owner.server,
+            address: server.info.address,
             incarnation: owner.incarnation,
             alive: server.alive,
             draining: server.draining(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod rpc;
 pub mod runtime;
 pub mod settings;
+pub mod signals;
 pub mod timeline;
 pub mod timing;
 pub mod verdict;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,10 +7,13 @@
 pub mod control;
 pub mod entry;
 pub mod logging;
+mod start;
 
 #[cfg(test)]
 mod tests;
 
+pub use start::start;
+
 use std::fmt;
 use std::fs;
 use std::net::SocketAddr;
@@ -25,7 +28,7 @@
 use crate::ids;
 
 /// Exit code of a daemon that can't use its settings.
-pub const EXIT_CODE: i32 = 2;
+pub const EXIT_CODE: u8 = 2;
 
 const ADDRESS: &str = "an IP address and port such as 127.0.0.1:8080";
 
