--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admit;
 pub mod announce;
 pub mod claim;
+pub mod client;
 pub mod clock;
 pub mod control;
 pub mod delegate;
