--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! A router for servers that own their keys exclusively.
 
+pub mod admit;
+pub mod announce;
 pub mod claim;
 pub mod client;
 pub mod clock;
@@ -12,14 +14,18 @@
 pub mod grant;
 pub mod ids;
 pub mod keys;
+pub mod log;
 pub mod notify;
+pub mod place;
 pub mod route;
 pub mod rpc;
 pub mod runtime;
 pub mod settings;
+pub mod signals;
 pub mod timeline;
 pub mod timing;
 pub mod verdict;
+pub mod web;
 
 #[cfg(test)]
 mod tests;
