Log: refuse a second disk under a live VM's name, no overflow from outside

Cause: a process started by mistake under the name of a VM that lives would have taken that VM's seat; terms and indexes from messages were added to unchecked; a founder whose blank disk had already voted would have written its first entry into a term that could be another's.

Ruled out: refusing by the address of the caller (the address of a VM may change with its settings).

Change: a leader admits no disk for its own VM, nor for one whose present disk answered within the election timeout; sums on outside values saturate; the first entry takes the term after the disk's own.

--- a/src/log/election.rs
+++ b/src/log/election.rs
@@ -62,11 +62,12 @@
 /// Tries to become leader; `asked` if the leader handed over.
 async fn campaign(node: &Rc<Node>, asked: bool) {
     let term = node.state().term();
+    let next = term.saturating_add(1);
     if node.state().installing {
         return;
     }
     node.state_mut().leader = None;
-    if !asked && !wins(node, term, term + 1, true, false).await {
+    if !asked && !wins(node, term, next, true, false).await {
         return;
     }
     {
@@ -74,16 +75,16 @@
         if state.term() != term || state.stopped {
             return;
         }
-        state.adopt(term + 1);
+        state.adopt(next);
         state.role = Role::Candidate;
         state.vote = Vote {
-            term: term + 1,
+            term: next,
             choice: Some(Arc::clone(&state.disk)),
         };
         state.heard = clock::now();
     }
-    if node.save_vote().await && wins(node, term + 1, term + 1, false, asked).await {
-        take_office(node, term + 1);
+    if node.save_vote().await && wins(node, next, next, false, asked).await {
+        take_office(node, next);
     }
 }
 
--- a/src/log/entries.rs
+++ b/src/log/entries.rs
@@ -119,8 +119,9 @@
 
     /// Takes back the entry at `index` and all after it.
     pub(super) fn cut_from(&mut self, index: ids::LogIndex) {
-        self.kept
-            .truncate(usize::try_from(index.saturating_sub(self.base.0 + 1)).unwrap_or(0));
+        self.kept.truncate(
+            usize::try_from(index.saturating_sub(self.base.0).saturating_sub(1)).unwrap_or(0),
+        );
         self.changes.retain(|c| c.index < index);
         self.synced = self.synced.min(index.saturating_sub(1));
         self.cuts += 1;
--- a/src/log/follow.rs
+++ b/src/log/follow.rs
@@ -101,7 +101,7 @@
         return log.last().saturating_add(1).min(prior);
     };
     let mut first = prior;
-    while first > log.base() + 1 && log.term_at(first - 1) == Some(term) {
+    while first > log.base().saturating_add(1) && log.term_at(first - 1) == Some(term) {
         first -= 1;
     }
     first
--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -172,8 +172,9 @@
         }
     }
 
-    /// Lets the leader admit a VM that is no member yet, once that VM asks.
+    /// Lets this leader admit a VM that is no member yet, once that VM asks.
     ///
+    /// Another leader knows nothing of it and is to be told anew.
     /// The VM's own settings name the members and itself.
     pub fn invite(&self, member: Member) {
         let mut state = self.node.state_mut();
--- a/src/log/members.rs
+++ b/src/log/members.rs
@@ -16,7 +16,7 @@
 use super::model::{Body, DiskId, Entry, Membership, Seat, Vote};
 use super::node::Node;
 use super::replicate;
-use super::state::State;
+use super::state::{Progress, State};
 use crate::ids;
 use crate::rpc::Peer;
 
@@ -143,8 +143,9 @@
             voter: true,
         };
         let seats = node.config.members.iter().map(seat).collect();
+        let term = state.term().saturating_add(1);
         state.vote = Vote {
-            term: 1,
+            term,
             choice: Some(Arc::clone(&own)),
         };
         let members = Membership {
@@ -153,7 +154,7 @@
         };
         state.log.push(Entry {
             index: 1,
-            term: 1,
+            term,
             body: Body::Members(members),
         });
         state.patience = Duration::ZERO;
@@ -196,6 +197,9 @@
         node.record("log.join_refused", &join.vm);
         return refused("the VM is no member");
     };
+    if is_in_use(node, &state, &join) {
+        return refused("another disk of the VM is in use");
+    }
     if state.admitting.insert(Arc::clone(&join.disk)) {
         let seat = Seat {
             vm: join.vm,
@@ -211,6 +215,15 @@
     }
 }
 
+/// Whether another disk of the same VM still answers.
+fn is_in_use(node: &Node, state: &State, join: &Join) -> bool {
+    let answers = |disk: &DiskId| state.progress.get(disk).is_some_and(Progress::is_fresh);
+    let members = state.log.members();
+    let mut seats = members.into_iter().flat_map(|m| &m.seats);
+    join.vm == node.config.vm
+        || seats.any(|s| s.vm == join.vm && s.disk != join.disk && answers(&s.disk))
+}
+
 /// Address of a VM that is a member or was invited.
 fn address_of(node: &Node, state: &State, vm: &ids::VmName) -> Option<SocketAddr> {
     let seats = &state.log.members()?.seats;
--- a/src/log/node.rs
+++ b/src/log/node.rs
@@ -234,7 +234,7 @@
         if state.applied >= state.commit || state.installing || state.stopped {
             return None;
         }
-        state.log.get(state.applied + 1).cloned()
+        state.log.get(state.applied.saturating_add(1)).cloned()
     }
 
     fn finish(&self, entry: &Entry, output: Vec<u8>) {
--- a/src/log/state.rs
+++ b/src/log/state.rs
@@ -50,6 +50,13 @@
     pub(super) round: u64,
 }
 
+impl Progress {
+    /// Whether it answered lately.
+    pub(super) fn is_fresh(&self) -> bool {
+        clock::now() < self.heard + ELECTION_TIMEOUT
+    }
+}
+
 /// A read that waits for a round and for its entry.
 pub(super) struct Read {
     pub(super) round: u64,
@@ -175,10 +182,10 @@
 
     /// Whether a majority answered this leader lately.
     pub(super) fn hears_majority(&self) -> bool {
-        let now = clock::now();
-        let fresh = |p: &Progress| now < p.heard + ELECTION_TIMEOUT;
         self.log.members().is_some_and(|m| {
-            m.majority(|s| s.disk == self.disk || self.progress.get(&s.disk).is_some_and(fresh))
+            m.majority(|s| {
+                s.disk == self.disk || self.progress.get(&s.disk).is_some_and(Progress::is_fresh)
+            })
         })
     }
 
@@ -223,7 +230,7 @@
 
     /// Adds an entry as leader.
     pub(super) fn add(&mut self, body: Body) -> ids::LogIndex {
-        let index = self.log.last() + 1;
+        let index = self.log.last().saturating_add(1);
         let term = self.term();
         self.log.push(Entry { index, term, body });
         index
--- a/src/log/tests/faults.rs
+++ b/src/log/tests/faults.rs
@@ -9,7 +9,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::log::messages::{self, Ballot, Beat, Beaten, Blank, Condition, Route, Voted};
+use crate::log::messages::{
+    self, Ballot, Beat, Beaten, Blank, Condition, Join, Joined, Route, Voted,
+};
 use crate::log::{ProposeError, Role};
 use crate::runtime;
 
@@ -274,6 +276,24 @@
     });
 }
 
+#[test]
+fn a_second_disk_under_the_name_of_a_live_vm_is_refused() {
+    runtime::run(async {
+        let cluster = Cluster::formed(3, 1000).await;
+        cluster.propose("a", NOBODY).await;
+        cluster.agree(&[0, 1, 2], 1).await;
+        let leader = cluster.leader().await;
+        for vm in 0..3 {
+            let join = Join {
+                vm: cluster.handle(vm).status().vm,
+                disk: "another".into(),
+            };
+            let joined: Joined = ask(&cluster, leader, messages::JOIN, &join).await;
+            assert!(!joined.begun, "{vm}");
+        }
+    });
+}
+
 #[test]
 fn a_removed_vm_returns_only_when_invited() {
     runtime::run(async {
--- a/src/log/tests/files.rs
+++ b/src/log/tests/files.rs
@@ -178,6 +178,25 @@
     assert_eq!(contents.next, 4);
 }
 
+#[test]
+fn segments_that_a_snapshot_made_void_are_dropped() {
+    let folder = sample();
+    let snapshot = Snapshot {
+        index: 9,
+        term: 2,
+        members: members(1),
+        data: Vec::new(),
+    };
+    folder::write_snapshot(folder.path(), &snapshot, 3).unwrap();
+    let contents = folder::open(folder.path()).unwrap();
+    assert_eq!(contents.entries, []);
+    assert_eq!(contents.next, 3);
+    assert!(!folder::segment_path(folder.path(), 1).exists());
+    drop(contents);
+    write_segment(folder.path(), 3, &[vec![command(11, 2)]]);
+    assert_eq!(damaged(folder.path()).0, "0000000003.log");
+}
+
 #[test]
 fn a_torn_tail_is_cut_once() {
     let folder = sample();
