--- a/src/client/control.rs
+++ b/src/client/control.rs
@@ -4,26 +4,31 @@
 //! its id, and draining a server again changes nothing. So a request goes to one
 //! control VM after the other until one gives a definite answer.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Method;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::answer::Failure;
 use super::call::{self, CallError, Reply};
+use crate::clock;
 use crate::control::api;
 
 /// Longest wait for one answer.
-pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Rounds through all control VMs.
 const ROUNDS: u32 = 5;
 
+/// Time after which no further round is begun.
+const ROUNDS_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Pause between rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(300);
 
@@ -54,8 +59,8 @@
 struct Attempts {
     /// Whether a request that has no answer may have run.
     may_have_run: bool,
-    /// What went wrong last, with the address.
-    cause: String,
+    /// What went wrong last at each address.
+    causes: BTreeMap<SocketAddr, String>,
 }
 
 impl Control {
@@ -85,21 +90,20 @@
         Q: Serialize,
     {
         let body = serde_json::to_vec(request).unwrap_or_default();
-        self.ask(Method::POST, path, Some(body)).await
+        self.ask(Method::POST, path, Some(Bytes::from(body))).await
     }
 
-    async fn ask(
-        &self,
-        method: Method,
-        path: &str,
-        body: Option<Vec<u8>>,
-    ) -> Result<Reply, Failure> {
+    async fn ask(&self, method: Method, path: &str, body: Option<Bytes>) -> Result<Reply, Failure> {
         if self.addresses.is_empty() {
             let line = "no control VM given: use --control or AGATEYOKE_CONTROL";
             return Err(Failure::Usage(line.into()));
         }
         let mut attempts = Attempts::default();
+        let begun = clock::now();
         for round in 0..ROUNDS {
+            if clock::now() > begun + ROUNDS_TIMEOUT {
+                break;
+            }
             if round > 0 {
                 monoio::time::sleep(ROUND_PAUSE).await;
             }
@@ -120,7 +124,7 @@
         &self,
         method: &Method,
         path: &str,
-        body: Option<&Vec<u8>>,
+        body: Option<&Bytes>,
         attempts: &mut Attempts,
     ) -> Option<Reply> {
         let mut next: VecDeque<SocketAddr> = self.addresses.iter().copied().collect();
@@ -147,22 +151,23 @@
 impl Attempts {
     fn lost(&mut self, address: SocketAddr, error: &CallError) {
         self.may_have_run |= matches!(error, CallError::MayHaveRun(_));
-        self.cause = format!("{address}: {error}");
+        self.causes.insert(address, error.to_string());
     }
 
     /// Takes in that a control VM can't do it now; returns the leader if it is named.
     fn unavailable(&mut self, address: SocketAddr, reply: &Reply) -> Option<SocketAddr> {
         if let Ok(failure) = parse::<api::Failure>(reply) {
             self.may_have_run |= failure.may_have_run;
-            self.cause = format!("{address}: {}", failure.error);
+            self.causes.insert(address, failure.error.to_string());
             return None;
         }
-        self.cause = format!("{address}: not the leader");
+        self.causes.insert(address, "not the leader".to_owned());
         parse::<api::NotLeader>(reply).ok()?.leader
     }
 
     fn failure(self, method: &Method) -> Failure {
-        let cause: Arc<str> = self.cause.into();
+        let causes = self.causes.iter().map(|(a, c)| format!("{a}: {c}"));
+        let cause: Arc<str> = causes.collect::<Vec<_>>().join(", ").into();
         match *method {
             Method::GET => Failure::Failed(format!("no control VM answers: {cause}").into()),
             _ if self.may_have_run => Failure::Unknown {
--- a/src/client/status.rs
+++ b/src/client/status.rs
@@ -63,6 +63,9 @@
             mark(e.stopping, "stopping"),
         ]
     };
+    if entries.is_empty() {
+        return "no entry VM has been heard of".to_owned();
+    }
     let rows: Vec<[String; 5]> = entries.iter().map(row).collect();
     output::table(
         ["entry VM", "zone", "has log up to", "heard", "state"],
