--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -2,7 +2,7 @@
 //!
 //! | request | answer |
 //! | --- | --- |
-//! | `POST /v1/documents/{service}` with [`ApplyRequest`] | 200 [`Accepted`], 400 [`Refused`], 409 [`Conflict`], 409 [`Reused`], 503 [`NotLeader`] |
+//! | `POST /v1/documents/{service}` with [`ApplyRequest`] | 200 [`Accepted`], 400 [`Refused`], 409 [`Conflict`], 409 [`Reused`], 503 [`NotLeader`], 504 [`Failure`] |
 //! | `GET /v1/documents` | 200 [`Documents`] |
 //! | `GET /v1/documents/{service}` `[?version=N]` | 200 [`DocumentAnswer`], 404 |
 //! | `GET /v1/documents/{service}/history` | 200 [`History`], 404 |
@@ -14,7 +14,8 @@
 //!
 //! Every daemon has `timeline` and `metrics`; the rest is for control VMs.
 //! Where only the leader can answer, another control VM says 503 [`NotLeader`]
-//! and has done nothing. An error without an own type has [`Failure`] as body.
+//! and has done nothing. A conflict is told only from the applied log, after a
+//! look for the change id, so that it holds for earlier attempts as well. An error without an own type has [`Failure`] as body.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admit;
 pub mod announce;
 pub mod claim;
+pub mod client;
 pub mod clock;
 pub mod control;
 pub mod delegate;
@@ -21,6 +22,7 @@
 pub mod rpc;
 pub mod runtime;
 pub mod settings;
+pub mod signals;
 pub mod timeline;
 pub mod timing;
 pub mod verdict;
--- a/src/log/members.rs
+++ b/src/log/members.rs
@@ -16,7 +16,7 @@
 use super::model::{Body, DiskId, Entry, Membership, Seat, Vote};
 use super::node::Node;
 use super::replicate;
-use super::state::State;
+use super::state::{Progress, State};
 use crate::ids;
 use crate::rpc::Peer;
 
@@ -143,8 +143,9 @@
             voter: true,
         };
         let seats = node.config.members.iter().map(seat).collect();
+        let term = state.term().saturating_add(1);
         state.vote = Vote {
-            term: 1,
+            term,
             choice: Some(Arc::clone(&own)),
         };
         let members = Membership {
@@ -153,7 +154,7 @@
         };
         state.log.push(Entry {
             index: 1,
-            term: 1,
+            term,
             body: Body::Members(members),
         });
         state.patience = Duration::ZERO;
@@ -196,6 +197,9 @@
         node.record("log.join_refused", &join.vm);
         return refused("the VM is no member");
     };
+    if is_in_use(node, &state, &join) {
+        return refused("another disk of the VM is in use");
+    }
     if state.admitting.insert(Arc::clone(&join.disk)) {
         let seat = Seat {
             vm: join.vm,
@@ -211,6 +215,15 @@
     }
 }
 
+/// Whether another disk of the same VM still answers.
+fn is_in_use(node: &Node, state: &State, join: &Join) -> bool {
+    let answers = |disk: &DiskId| state.progress.get(disk).is_some_and(Progress::is_fresh);
+    let members = state.log.members();
+    let mut seats = members.into_iter().flat_map(|m| &m.seats);
+    join.vm == node.config.vm
+        || seats.any(|s| s.vm == join.vm && s.disk != join.disk && answers(&s.disk))
+}
+
 /// Address of a VM that is a member or was invited.
 fn address_of(node: &Node, state: &State, vm: &ids::VmName) -> Option<SocketAddr> {
     let seats = &state.log.members()?.seats;
@@ -227,7 +240,7 @@
 
 async fn admit_disk(node: Rc<Node>, seat: Seat, term: ids::LogTerm) {
     node.record("log.admitting", &format!("{} disk {}", seat.vm, seat.disk));
-    let done = change(&node, term, |_, m| Some(with_learner(m, &seat))).await
+    let done = change(&node, term, |_, m| Edit::Make(with_learner(m, &seat))).await
         && change(&node, term, |s, m| without_lost(s, m, &seat)).await
         && change(&node, term, |s, m| with_voter(s, m, &seat)).await;
     let mut state = node.state_mut();
@@ -253,27 +266,35 @@
 }
 
 /// Removes the lost voter of a VM once the new disk holds all that is committed.
-fn without_lost(state: &State, members: &Membership, seat: &Seat) -> Option<Membership> {
+fn without_lost(state: &State, members: &Membership, seat: &Seat) -> Edit {
     if !has_caught_up(state, seat) {
-        return None;
+        return wait_for(members, seat);
     }
     let mut members = members.clone();
     members
         .seats
         .retain(|s| s.vm != seat.vm || s.disk == seat.disk);
-    Some(members)
+    Edit::Make(members)
 }
 
 /// Makes a disk a voter once it holds all that is committed.
-fn with_voter(state: &State, members: &Membership, seat: &Seat) -> Option<Membership> {
+fn with_voter(state: &State, members: &Membership, seat: &Seat) -> Edit {
     if !has_caught_up(state, seat) {
-        return None;
+        return wait_for(members, seat);
     }
     let mut members = members.clone();
     for own in members.seats.iter_mut().filter(|s| s.disk == seat.disk) {
         own.voter = true;
     }
-    Some(members)
+    Edit::Make(members)
+}
+
+/// Waits for a disk, unless another has taken its seat.
+fn wait_for(members: &Membership, seat: &Seat) -> Edit {
+    match members.seat(&seat.disk) {
+        Some(_) => Edit::Wait,
+        None => Edit::GiveUp,
+    }
 }
 
 fn has_caught_up(state: &State, seat: &Seat) -> bool {
@@ -281,6 +302,16 @@
     progress.is_some_and(|p| p.matched >= state.commit)
 }
 
+/// What is to be done about members.
+pub(super) enum Edit {
+    /// It is too early.
+    Wait,
+    /// There is nothing left to change.
+    GiveUp,
+    /// These are the new members.
+    Make(Membership),
+}
+
 /// Outcome of a look at a change.
 enum Step {
     Wait,
@@ -289,11 +320,9 @@
 }
 
 /// Makes one change of members as soon as it is allowed; true once it is committed.
-///
-/// `edit` gives the new members, or `None` while it is too early.
 pub(super) async fn change<F>(node: &Rc<Node>, term: ids::LogTerm, edit: F) -> bool
 where
-    F: Fn(&State, &Membership) -> Option<Membership>,
+    F: Fn(&State, &Membership) -> Edit,
 {
     let mut appended = None;
     loop {
@@ -312,7 +341,7 @@
     appended: &mut Option<ids::LogIndex>,
 ) -> Step
 where
-    F: Fn(&State, &Membership) -> Option<Membership>,
+    F: Fn(&State, &Membership) -> Edit,
 {
     let mut state = node.state_mut();
     if !state.leads(term) {
@@ -330,9 +359,10 @@
         return Step::Wait;
     };
     match edit(&state, members) {
-        None => Step::Wait,
-        Some(new) if new == *members => Step::Committed,
-        Some(new) => {
+        Edit::Wait => Step::Wait,
+        Edit::GiveUp => Step::Lost,
+        Edit::Make(new) if new == *members => Step::Committed,
+        Edit::Make(new) => {
             *appended = Some(state.add(Body::Members(new)));
             drop(state);
             replicate::start_links(node);
