Refuse to go on under a delegation that another carrier came before

Cause: a carrier that missed its own replacement and was appointed again would have taken its old memory for current. Ruled out: comparing names only; the same VM may be appointed twice with another in between. Change: Duty::rebase answers false unless `prior` shows that nobody else acted since this duty began; tests of drain, rights and votes, resignation, release, takeover of servers that do not check, and of the placement policy. Conclusion: the leader has to keep `prior` in a delegation as long as the appointment lasts.

--- a/src/grant/duty.rs
+++ b/src/grant/duty.rs
@@ -24,7 +24,8 @@
 /// What a carrier starts from.
 #[derive(Clone, Debug, Default)]
 pub struct Inherited {
-    /// Routes of the map that this VM holds as a subscriber.
+    /// Routes of the map that this VM holds as a subscriber; it must have asked the prior carrier
+    /// for no other since.
     pub routes: Vec<route::Route>,
     /// Servers of that map.
     pub servers: Vec<route::ServerInfo>,
@@ -167,8 +168,16 @@
     }
 
     /// Goes on under a delegation with a higher epoch to the same carrier.
-    pub fn rebase(&self, delegation: &Delegation) {
-        self.change(|s| s.rebase(delegation));
+    ///
+    /// False if another carrier may have acted since this duty began, which `prior` tells: the
+    /// duty is then worth nothing, and a new one has to take over.
+    pub fn rebase(&self, delegation: &Delegation) -> bool {
+        let goes_on = self.state.borrow().goes_on(delegation);
+        if goes_on {
+            self.change(|s| s.rebase(delegation));
+            self.resigned.set(false);
+        }
+        goes_on
     }
 
     /// Puts a newer document in force.
@@ -177,6 +186,8 @@
     }
 
     /// Takes spans from their owners for another zone; replaces what was asked before.
+    ///
+    /// A span that was reported released and is asked for no longer is granted again.
     pub fn release(&self, spans: &[keys::Span]) {
         self.change(|s| s.release(spans));
     }
--- a/src/grant/state.rs
+++ b/src/grant/state.rs
@@ -11,7 +11,7 @@
 use super::server::Server;
 use super::subscriber::Subscriber;
 use crate::delegate;
-use crate::delegate::messages::{Delegation, DutyReport};
+use crate::delegate::messages::{Delegation, DutyReport, Prior};
 use crate::document::Document;
 use crate::ids;
 use crate::keys;
@@ -43,6 +43,7 @@
 pub(super) struct State {
     pub(super) service: ids::ServiceName,
     pub(super) zone: ids::ZoneName,
+    carrier: ids::VmName,
     pub(super) journal: Journal,
     /// Epochs of this duty, the present one last.
     pub(super) epochs: Vec<ids::Epoch>,
@@ -87,6 +88,7 @@
         let mut state = Self {
             service: ids::ServiceName::clone(&delegation.service),
             zone: ids::ZoneName::clone(&delegation.zone),
+            carrier: ids::VmName::clone(&delegation.carrier),
             journal,
             epochs: vec![delegation.epoch],
             epoch: delegation.epoch,
@@ -698,11 +700,17 @@
 
 /// Delegation and reports.
 impl State {
+    /// Whether no other carrier can have acted since this one was appointed.
+    pub(super) fn goes_on(&self, delegation: &Delegation) -> bool {
+        let same = delegation.epoch > self.epoch && delegation.carrier == self.carrier;
+        let first = self.epochs.first().copied().unwrap_or_default();
+        let prior = delegation.prior.as_ref();
+        let own = |p: &Prior| p.carrier == self.carrier && self.epochs.contains(&p.epoch);
+        same && prior.is_none_or(|p| p.epoch < first || own(p))
+    }
+
     /// Goes on under a higher epoch with other spans.
     pub(super) fn rebase(&mut self, delegation: &Delegation) {
-        if delegation.epoch <= self.epoch {
-            return;
-        }
         self.epoch = delegation.epoch;
         self.epochs.push(delegation.epoch);
         self.granted = 0;
--- a/src/grant/tests.rs
+++ b/src/grant/tests.rs
@@ -4,15 +4,18 @@
 mod model;
 mod world;
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::messages::LeaseRequest;
+use super::{Inherited, PullRefused, Rights};
 use crate::clock;
+use crate::delegate::messages;
 use crate::keys::Span;
 use crate::runtime;
 use arbtest::arbitrary::{Result, Unstructured};
-use fixture::{beat, carrier, pull, settle};
+use fixture::{beat, carrier, carrier_with, delegation, prior, pull, settle, successor};
 use world::{Action, World};
 
 /// Random scenarios of a run.
@@ -72,6 +75,131 @@
     assert_eq!(servers[0].holds.len(), 16);
 }
 
+#[test]
+fn a_draining_server_gives_all_its_spans_away_and_is_told_so() {
+    let (duty, mut now) = (carrier(), clock::now());
+    let mut servers: Vec<LeaseRequest> = ["a", "b", "c", "d"].map(|s| beat(s, true)).into();
+    settle(&duty, &mut now, &mut servers, SECOND);
+    servers[0].draining = true;
+    settle(&duty, &mut now, &mut servers, SECOND * 4);
+    assert!(servers[0].holds.is_empty());
+    servers[0].beat += 1;
+    assert!(duty.lease(now, &servers[0]).unwrap().drained);
+    let held: usize = servers.iter().map(|s| s.holds.len()).sum();
+    assert_eq!((held, duty.overview().dark.len()), (16, 0));
+}
+
+#[test]
+fn a_drain_by_an_operator_ends_when_it_is_lifted() {
+    let (duty, mut now) = (carrier(), clock::now());
+    let mut servers: Vec<LeaseRequest> = ["a", "b"].map(|s| beat(s, false)).into();
+    settle(&duty, &mut now, &mut servers, SECOND);
+    duty.drain("a", true);
+    settle(&duty, &mut now, &mut servers, SECOND * 6);
+    assert!(servers[0].holds.is_empty());
+    duty.drain("a", false);
+    settle(&duty, &mut now, &mut servers, SECOND * 30);
+    assert!(servers[0].holds.len() >= 4);
+}
+
+#[test]
+fn without_a_right_no_server_and_no_map_is_served_but_votes_are_taken() {
+    let (until, votes) = (Rc::new(Cell::new(None)), Rc::new(RefCell::new(Vec::new())));
+    let rights = Rights {
+        until: Box::new({
+            let until = Rc::clone(&until);
+            move |_| until.get()
+        }),
+        vote: Box::new({
+            let votes = Rc::clone(&votes);
+            move |vm, at| votes.borrow_mut().push((vm.to_string(), at))
+        }),
+    };
+    let (duty, now) = (carrier_with(rights), clock::now());
+    assert!(duty.lease(now, &beat("a", false)).is_none());
+    let first = duty.answer(now, &pull("vm", None)).unwrap();
+    assert_eq!((first.epoch, first.routes.len()), (0, 0));
+    let mut question = pull("vm", Some(&first));
+    question.votes = true;
+    duty.admit(now + SECOND, &question).unwrap();
+    assert!(
+        votes.borrow().is_empty(),
+        "a vote for another epoch counted"
+    );
+    question.epoch = 3;
+    duty.admit(now + SECOND, &question).unwrap();
+    assert_eq!(*votes.borrow(), [("vm".to_owned(), now)]);
+    until.set(Some(now + SECOND));
+    assert!(duty.lease(now, &beat("a", false)).is_some());
+    assert_eq!(duty.answer(now, &question).unwrap().epoch, 3);
+    question.epoch = 4;
+    assert_eq!(duty.admit(now, &question), Err(PullRefused::Outdated));
+}
+
+#[test]
+fn a_carrier_that_resigned_acts_no_more_until_it_is_appointed_anew() {
+    let (duty, mut now) = (carrier(), clock::now());
+    let mut servers = vec![beat("a", true)];
+    settle(&duty, &mut now, &mut servers, SECOND);
+    duty.state.borrow_mut().granted = messages::FENCES_IN_EPOCH;
+    assert!(duty.report(now).resigned);
+    servers[0].beat += 1;
+    assert!(duty.lease(now, &servers[0]).is_none());
+    let asked = duty.admit(now, &pull("vm", None));
+    assert_eq!(asked, Err(PullRefused::Resigned));
+    let mut anew = delegation(4);
+    anew.prior = Some(prior(3, "other"));
+    assert!(!duty.rebase(&anew));
+    anew.prior = Some(prior(3, "vm"));
+    assert!(duty.rebase(&anew));
+    assert!(!duty.report(now).resigned);
+    settle(&duty, &mut now, &mut servers, SECOND);
+    assert_eq!(servers[0].holds.len(), 16);
+}
+
+#[test]
+fn a_released_span_is_reported_once_no_map_has_it_and_then_given_up() {
+    let (duty, mut now) = (carrier(), clock::now());
+    let mut servers = vec![beat("a", true)];
+    settle(&duty, &mut now, &mut servers, SECOND);
+    let map = duty.answer(now, &pull("vm", None)).unwrap();
+    let span = Span::cut(16)[5];
+    duty.release(&[span]);
+    settle(&duty, &mut now, &mut servers, SECOND / 5);
+    assert!(!servers[0].holds.iter().any(|g| g.span == span));
+    assert!(duty.report(now).released.is_empty());
+    let map = duty.answer(now, &pull("vm", Some(&map))).unwrap();
+    duty.admit(now, &pull("vm", Some(&map))).unwrap();
+    assert_eq!(duty.report(now).released, [span]);
+    let mut rest = delegation(4);
+    rest.spans = Span::cut(16);
+    rest.spans.remove(5);
+    assert!(duty.rebase(&rest));
+    let after = duty.answer(now, &pull("vm", Some(&map))).unwrap();
+    assert_eq!((after.full, after.gone), (false, vec![span]));
+}
+
+#[test]
+fn spans_of_a_server_that_does_not_check_survive_a_takeover_with_a_fresh_map() {
+    let (old, mut now) = (carrier(), clock::now());
+    let mut servers: Vec<LeaseRequest> = ["a", "b"].map(|s| beat(s, false)).into();
+    settle(&old, &mut now, &mut servers, SECOND);
+    let map = old.answer(now, &pull("vm", None)).unwrap();
+    let inherited = |fresh| Inherited {
+        routes: map.routes.clone(),
+        servers: map.servers.clone(),
+        fresh,
+        prior_end: Some(now),
+    };
+    let served = |fresh| {
+        let duty = successor(inherited(fresh));
+        let answer = duty.answer(now, &pull("vm", None)).unwrap();
+        let owners = answer.routes.iter().filter(|r| r.server.is_some());
+        owners.count()
+    };
+    assert_eq!((served(true), served(false)), (16, 0));
+}
+
 #[test]
 fn a_question_is_held_open_until_there_is_news() {
     runtime::run(async {
--- a/src/grant/tests/fixture.rs
+++ b/src/grant/tests/fixture.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::delegate::Delegation;
+use crate::delegate::messages::Prior;
 use crate::document::{Document, Placement};
 use crate::grant::{Duty, Inherited, LeaseRequest, Rights};
 use crate::keys::Span;
@@ -56,13 +57,34 @@
 
 /// A first carrier.
 pub(super) fn carrier() -> Rc<Duty> {
-    Duty::new(
-        &delegation(3),
-        document(Duration::from_millis(200)),
-        Inherited::default(),
-        always(),
-        Journal::new("vm".into()),
-    )
+    carrier_with(always())
+}
+
+/// A first carrier with the given rights.
+pub(super) fn carrier_with(rights: Rights) -> Rc<Duty> {
+    duty(3, Inherited::default(), rights)
+}
+
+/// A second carrier.
+pub(super) fn successor(inherited: Inherited) -> Rc<Duty> {
+    duty(4, inherited, always())
+}
+
+fn duty(epoch: u64, inherited: Inherited, rights: Rights) -> Rc<Duty> {
+    let document = document(Duration::from_millis(200));
+    let journal = Journal::new("vm".into());
+    Duty::new(&delegation(epoch), document, inherited, rights, journal)
+}
+
+/// A carrier that was replaced.
+pub(super) fn prior(epoch: u64, carrier: &str) -> Prior {
+    Prior {
+        epoch,
+        carrier: carrier.into(),
+        voters: vec![carrier.into()],
+        tiebreak: false,
+        resigned: true,
+    }
 }
 
 /// A server's first question.
--- a/src/grant/tests/world.rs
+++ b/src/grant/tests/world.rs
@@ -261,7 +261,7 @@
         self.epoch += 1;
         let mut delegation = fixture::delegation(self.epoch);
         delegation.spans = self.spans();
-        self.duty().rebase(&delegation);
+        assert!(self.duty().rebase(&delegation));
     }
 
     /// Puts a carrier on an entry VM in place of the present one.
