Test the waits of a carrier one by one

Cause: trials showed that the random scenarios miss some waits that need rare sequences. Change: tests of work that outlasts a move, of maps and deadlines of a lost server that does not check, of spans that go to such a server, of old and of finishing reports at a takeover.

--- a/src/grant/tests.rs
+++ b/src/grant/tests.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::messages::LeaseRequest;
+use super::messages::{Grant, LeaseRequest};
+use super::overview::Dark;
+use super::piece::Cause;
 use super::{Inherited, PullRefused, Rights};
 use crate::clock;
 use crate::delegate::messages;
@@ -19,7 +21,7 @@
 use world::{Action, World};
 
 /// Random scenarios of a run.
-const SCENARIOS: u64 = 60;
+const SCENARIOS: u64 = 100;
 
 /// Spreads the seeds over all bits.
 const SPREAD: u64 = 0x9E37_79B9;
@@ -200,6 +202,112 @@
     assert_eq!((served(true), served(false)), (16, 0));
 }
 
+#[test]
+fn a_span_is_not_free_while_its_owner_works_on_it() {
+    let (duty, mut now) = (carrier(), clock::now());
+    let mut servers = vec![beat("a", true)];
+    settle(&duty, &mut now, &mut servers, SECOND);
+    let work = servers[0].holds[5];
+    servers[0].finishing = vec![work];
+    duty.release(&[work.span]);
+    settle(&duty, &mut now, &mut servers, SECOND * 2);
+    assert!(duty.report(now).released.is_empty());
+    servers[0].finishing.clear();
+    settle(&duty, &mut now, &mut servers, SECOND / 5);
+    assert_eq!(duty.report(now).released, [work.span]);
+}
+
+#[test]
+fn spans_of_a_lost_server_that_does_not_check_wait_for_maps_and_deadlines() {
+    let (duty, mut now) = (carrier(), clock::now());
+    let mut servers = vec![beat("a", false)];
+    settle(&duty, &mut now, &mut servers, SECOND);
+    let _ = duty.answer(now, &pull("vm", None)).unwrap();
+    let why = |ms| {
+        duty.tick(now + Duration::from_millis(ms));
+        let dark = duty.overview().dark;
+        dark.first().map(|d| d.why)
+    };
+    let (gone, worked) = (500 + 20, 200 + 20);
+    assert_eq!(why(gone - 1), Some(Dark::Leaving));
+    assert_eq!(why(gone), Some(Dark::Leaving));
+    assert_eq!(why(gone + worked - 1), Some(Dark::Leaving));
+    assert_eq!(why(gone + worked), Some(Dark::NoServer));
+}
+
+#[test]
+fn a_server_that_does_not_check_gets_a_span_only_once_no_map_has_the_old_route() {
+    let (duty, mut now) = (carrier(), clock::now());
+    let mut servers: Vec<LeaseRequest> = vec![beat("a", true), beat("b", false)];
+    settle(&duty, &mut now, &mut servers, SECOND);
+    let map = duty.answer(now, &pull("vm", None)).unwrap();
+    let moved = servers[0].holds[0].span;
+    let leave = |next: &str| {
+        let mut state = duty.state.borrow_mut();
+        state.leave(moved.start, Cause::Balance, Some(next.into()));
+    };
+    leave("b");
+    settle(&duty, &mut now, &mut servers, SECOND * 2 / 5);
+    let has = |s: &LeaseRequest| s.holds.iter().any(|g| g.span == moved);
+    assert!(!servers.iter().any(has));
+    let map = duty.answer(now, &pull("vm", Some(&map))).unwrap();
+    duty.admit(now, &pull("vm", Some(&map))).unwrap();
+    settle(&duty, &mut now, &mut servers, SECOND / 5);
+    assert!(has(&servers[1]));
+}
+
+#[test]
+fn an_old_report_at_a_takeover_gives_way_to_a_higher_fence() {
+    let mut now = clock::now();
+    let duty = successor(Inherited {
+        prior_end: Some(now),
+        ..Inherited::default()
+    });
+    let span = Span::cut(16)[2];
+    let grant = |fence| Grant { span, fence };
+    let (mut a, mut b) = (beat("a", true), beat("b", true));
+    (a.beat, a.holds) = (1, vec![grant(7)]);
+    (b.beat, b.holds) = (1, vec![grant(8)]);
+    assert_eq!(duty.lease(now, &a).unwrap().grants, [grant(7)]);
+    (a.beat, a.holds) = (2, Vec::new());
+    assert!(duty.lease(now, &a).unwrap().grants.is_empty());
+    now += Duration::from_millis(400);
+    duty.tick(now);
+    assert!(
+        duty.overview()
+            .dark
+            .iter()
+            .all(|d| d.why == Dark::PriorGrants)
+    );
+    assert_eq!(duty.lease(now, &b).unwrap().grants, [grant(8)]);
+    a.beat = 3;
+    assert!(duty.lease(now, &a).unwrap().grants.is_empty());
+    let mut c = beat("c", true);
+    (c.beat, c.holds) = (1, vec![grant(9)]);
+    assert_eq!(duty.lease(now, &c).unwrap().grants, [grant(9)]);
+}
+
+#[test]
+fn a_span_that_a_server_is_finishing_at_a_takeover_waits_for_its_lease() {
+    let now = clock::now();
+    let duty = successor(Inherited {
+        prior_end: Some(now),
+        ..Inherited::default()
+    });
+    let mut a = beat("a", true);
+    let span = Span::cut(16)[2];
+    (a.beat, a.finishing) = (1, vec![Grant { span, fence: 7 }]);
+    let after = |ms| now + Duration::from_millis(ms);
+    duty.lease(after(700), &a).unwrap();
+    let why = |ms| {
+        duty.tick(after(ms));
+        let dark = duty.overview().dark.into_iter();
+        dark.filter(|d| d.span == span).map(|d| d.why).next()
+    };
+    assert_eq!(why(700 + 519), Some(Dark::PriorGrants));
+    assert_eq!(why(700 + 520), Some(Dark::NoServer));
+}
+
 #[test]
 fn a_question_is_held_open_until_there_is_news() {
     runtime::run(async {
