Client: name the parts of what VMs answer

Cause: answers of all VMs were passed on as pairs, against the house style.

Ruled out: nothing else was weighed.

Change: `Answered` and `Missing` in place of pairs. No behaviour changes.

--- a/src/client/metrics.rs
+++ b/src/client/metrics.rs
@@ -36,8 +36,9 @@
     let targets = vms::targets(control, arguments.vms.as_deref()).await?;
     let answers = vms::get_all(targets, "/metrics").await?;
     let mut samples = Vec::new();
-    for (vm, reply) in &answers.replies {
-        samples.extend(read(vm, &String::from_utf8_lossy(&reply.body)));
+    for answered in &answers.replies {
+        let text = String::from_utf8_lossy(&answered.reply.body);
+        samples.extend(read(&answered.vm, &text));
     }
     let prefix = arguments.name.as_deref().unwrap_or_default();
     samples.retain(|s| s.metric.starts_with(prefix));
--- a/src/client/timeline.rs
+++ b/src/client/timeline.rs
@@ -46,8 +46,8 @@
     let targets = vms::targets(control, arguments.vms.as_deref()).await?;
     let answers = vms::get_all(targets, "/v1/timeline?after=0").await?;
     let mut events = Vec::new();
-    for (_, reply) in &answers.replies {
-        events.extend(control::parse::<api::Timeline>(reply)?.events);
+    for answered in &answers.replies {
+        events.extend(control::parse::<api::Timeline>(&answered.reply)?.events);
     }
     let now_ms = clock::wall_ms();
     events.retain(|event| arguments.wants(event, now_ms));
--- a/src/client/vms.rs
+++ b/src/client/vms.rs
@@ -22,9 +22,25 @@
 #[derive(Debug, Default)]
 pub(super) struct Answers {
     /// Answers, in the order of the VMs.
-    pub(super) replies: Vec<(Arc<str>, Reply)>,
-    /// VMs without an answer, and why.
-    pub(super) missing: Vec<(Arc<str>, Arc<str>)>,
+    pub(super) replies: Vec<Answered>,
+    /// VMs without an answer.
+    pub(super) missing: Vec<Missing>,
+}
+
+/// Answer of a VM.
+#[derive(Debug)]
+pub(super) struct Answered {
+    /// The VM's name.
+    pub(super) vm: Arc<str>,
+    /// Its answer.
+    pub(super) reply: Reply,
+}
+
+/// A VM without an answer.
+#[derive(Debug)]
+pub(super) struct Missing {
+    vm: Arc<str>,
+    cause: Arc<str>,
 }
 
 /// The VMs at the addresses given, else all that the control VMs know.
@@ -52,8 +68,8 @@
     let mut answers = Answers::default();
     for answer in asked {
         match answer.await {
-            (name, Ok(reply)) => answers.replies.push((name, reply)),
-            (name, Err(cause)) => answers.missing.push((name, cause)),
+            Ok(answered) => answers.replies.push(answered),
+            Err(missing) => answers.missing.push(missing),
         }
     }
     if answers.replies.is_empty() {
@@ -83,31 +99,34 @@
 
     /// Names of VMs without an answer.
     pub(super) fn missing_names(&self) -> Vec<Arc<str>> {
-        self.missing
-            .iter()
-            .map(|(name, _)| Arc::clone(name))
-            .collect()
+        self.missing.iter().map(|m| Arc::clone(&m.vm)).collect()
     }
 
     fn missing_text(&self) -> String {
         let parts: Vec<String> = self
             .missing
             .iter()
-            .map(|(n, c)| format!("{n} ({c})"))
+            .map(|m| format!("{} ({})", m.vm, m.cause))
             .collect();
         parts.join(", ")
     }
 }
 
-async fn get(target: Target, path: Arc<str>) -> (Arc<str>, Result<Reply, Arc<str>>) {
+async fn get(target: Target, path: Arc<str>) -> Result<Answered, Missing> {
+    let missing = |cause: &str| Missing {
+        vm: Arc::clone(&target.name),
+        cause: cause.into(),
+    };
     let Some(address) = target.address else {
-        return (target.name, Err("its operator address is not known".into()));
+        return Err(missing("its operator address is not known"));
     };
     let reply = call::call(address, Method::GET, &path, None, control::CALL_TIMEOUT).await;
-    let reply = match reply {
-        Ok(reply) if reply.status == control::STATUS_OK => Ok(reply),
-        Ok(reply) => Err(format!("status {}", reply.status).into()),
-        Err(error) => Err(error.to_string().into()),
-    };
-    (target.name, reply)
+    match reply {
+        Ok(reply) if reply.status == control::STATUS_OK => Ok(Answered {
+            vm: target.name,
+            reply,
+        }),
+        Ok(reply) => Err(missing(&format!("status {}", reply.status))),
+        Err(error) => Err(missing(&error.to_string())),
+    }
 }
