--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -76,13 +76,13 @@
 
 echo "== waiting until every key has an owner"
 for _ in $(seq 100); do
-    ask 7201 GET /stock/helmet-1 >/dev/null 2>&1 && ask 7203 GET /stock/helmet-1 >/dev/null 2>&1 && break
+    ask 7201 GET /lockers/L-1 >/dev/null 2>&1 && ask 7203 GET /lockers/L-1 >/dev/null 2>&1 && break
     sleep 0.1
 done
 
 echo "== lookups and a locker release through entry VMs of both zones"
 for entry in 7201 7203; do
-    for key in helmet-1 helmet-2 helmet-3; do ask "$entry" GET "/stock/$key"; done
+    for key in L-1 L-2 L-3; do ask "$entry" GET "/lockers/$key"; done
 done
 ask 7201 POST /lockers/L-17/release quickstart-claim-1
 echo "== the same release again through the other zone: it does not run twice"
@@ -99,7 +99,7 @@
   operators: control VMs 127.0.0.1:7111 7112 7113, entry VMs 127.0.0.1:7231 to 7234
 Try:
   export AGATEYOKE_CONTROL=$control
-  curl -i -H 'agateyoke-service: kiosk-core' http://127.0.0.1:7202/stock/helmet-9
+  curl -i -H 'agateyoke-service: kiosk-core' http://127.0.0.1:7202/lockers/L-9
   kill -9 \$(cat run/kiosk-core-galway-1.pid)
   target/release/agateyoke status
   target/release/agateyoke timeline
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -173,7 +173,7 @@
     office: &Rc<RefCell<delegate::Office>>,
 ) -> desk::Desk {
     let (barrier, leading) = (log.clone(), log.clone());
-    let (applied, documents) = (state.clone(), state.clone());
+    let (applied, documents) = (log.clone(), state.clone());
     desk::Desk {
         log: desk::Log {
             read_barrier: Box::new(move || {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,6 +1,6 @@
 //! The replicated state: the stores of the slices side by side.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -25,7 +25,6 @@
     pub claims: Rc<RefCell<claim::Store>>,
     /// Wakes when a command was applied.
     pub changed: Rc<Notify>,
-    applied: Rc<Cell<ids::LogIndex>>,
 }
 
 /// The state as a snapshot holds it.
@@ -37,18 +36,13 @@
 }
 
 impl State {
-    /// Log position up to which this state reflects the log.
-    pub fn applied(&self) -> ids::LogIndex {
-        self.applied.get()
-    }
-
     /// The state as the machine of the replicated log.
     pub fn machine(&self) -> log::Machine {
         let (apply, snapshot, restore) = (self.clone(), self.clone(), self.clone());
         log::Machine {
             apply: Box::new(move |index, payload| apply.apply(index, payload)),
             snapshot: Box::new(move || snapshot.snapshot()),
-            restore: Box::new(move |index, image| restore.restore(index, image)),
+            restore: Box::new(move |_, image| restore.restore(image)),
         }
     }
 
@@ -58,7 +52,6 @@
             Ok(command) => self.carry_out(index, command),
             Err(_) => Applied::Unreadable,
         };
-        self.applied.set(index);
         self.changed.wake();
         serde_json::to_vec(&applied).unwrap_or_default()
     }
@@ -73,17 +66,16 @@
         serde_json::to_vec(&image).unwrap_or_default()
     }
 
-    /// Replaces the state by one written out at `index`.
+    /// Replaces the state by one written out.
     ///
     /// # Errors
     ///
     /// Says what is wrong with the image; the state is unchanged then.
-    pub fn restore(&self, index: ids::LogIndex, image: &[u8]) -> Result<(), Arc<str>> {
+    pub fn restore(&self, image: &[u8]) -> Result<(), Arc<str>> {
         let image: Image = serde_json::from_slice(image).map_err(|e| Arc::from(e.to_string()))?;
         *self.documents.borrow_mut() = image.documents;
         *self.delegations.borrow_mut() = image.delegations;
         *self.claims.borrow_mut() = image.claims;
-        self.applied.set(index);
         self.changed.wake();
         Ok(())
     }
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -74,7 +74,7 @@
         (
             "applied_index",
             "Last log position applied",
-            number(control.state.applied()),
+            number(control.log.applied()),
         ),
         (
             "data_bytes",
--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -123,6 +123,11 @@
         state.led.filter(|_| state.hears_majority())
     }
 
+    /// Last position applied on this VM, entries of the log's own included.
+    pub fn applied(&self) -> ids::LogIndex {
+        self.node.state().applied
+    }
+
     /// State of the log on this VM.
     pub fn status(&self) -> Status {
         let state = self.node.state();
--- a/src/route/pull.rs
+++ b/src/route/pull.rs
@@ -1,6 +1,6 @@
 //! The tasks that ask carriers for routes, one for each service and zone.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::fmt;
 use std::rc::Rc;
@@ -85,6 +85,7 @@
             table: self.table.clone(),
             journal: self.journal.clone(),
             sources: Rc::clone(&self.sources),
+            answered: Cell::new(None),
         };
         let running = Rc::clone(&self.running);
         monoio::spawn(async move {
@@ -108,6 +109,11 @@
     table: Table,
     journal: Journal,
     sources: Rc<Sources>,
+    /// Epoch in which the last question was answered; `None` if it was not.
+    ///
+    /// Only a carrier that answers gets votes: a vote for a silent one would
+    /// keep its successor waiting.
+    answered: Cell<Option<ids::Epoch>>,
 }
 
 impl Task {
@@ -133,16 +139,19 @@
         let answer = target
             .peer
             .call::<_, PullAnswer>("route.pull", &request, timeout);
-        match answer.await {
+        let taken = match answer.await {
             Ok(answer) if answer.epoch == target.epoch => {
                 self.table.take_in(&self.service, &self.zone, answer, sent)
             }
             _ => false,
-        }
+        };
+        self.answered.set(taken.then_some(target.epoch));
+        taken
     }
 
     fn question(&self, target: &Target) -> Option<PullRequest> {
         let loads = self.table.take_loads(&self.service, &self.zone);
+        let answers = self.answered.get() == Some(target.epoch);
         self.table
             .with_map(&self.service, &self.zone, |map| PullRequest {
                 vm: Arc::clone(self.journal.vm()),
@@ -151,12 +160,8 @@
                 epoch: target.epoch,
                 map_epoch: map.epoch(),
                 version: map.version(),
-                answered: if map.epoch() == target.epoch {
-                    map.answered()
-                } else {
-                    0
-                },
-                votes: target.votes,
+                answered: if answers { map.answered() } else { 0 },
+                votes: target.votes && answers,
                 wait: timing::POLL_HOLD,
                 loads,
             })
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -1,7 +1,7 @@
 //! The routes that this entry VM holds, over all services and zones.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -138,6 +138,14 @@
             .unwrap_or_default()
     }
 
+    /// Starts of all backend servers that any map names.
+    pub fn incarnations(&self) -> HashSet<ids::Incarnation> {
+        let services = self.inner.services.borrow();
+        let zones = services.values().flat_map(HashMap::values);
+        let servers = zones.flat_map(|zone| zone.map.servers());
+        servers.map(|s| Arc::clone(&s.incarnation)).collect()
+    }
+
     /// Copies of the routes and servers held for a service in a zone, and whether they are in date.
     pub fn copy(
         &self,
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -1,11 +1,20 @@
 //! Route maps and the table over them.
 
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::messages::{PullAnswer, Route, ServerInfo};
+use monoio::net::TcpListener;
+use serde_json::value::RawValue;
+
+use super::messages::{PullAnswer, PullRequest, Route, ServerInfo};
+use super::pull;
 use super::table::{Found, Table};
 use crate::clock;
 use crate::keys::{self, Span};
+use crate::rpc::{self, server};
+use crate::runtime;
+use crate::timeline::Journal;
 use crate::timing;
 
 fn server(name: &str) -> ServerInfo {
@@ -136,3 +145,78 @@
     assert_eq!(hottest.0, 77);
     assert!(table.take_loads("s", "galway").is_empty());
 }
+
+/// A carrier that answers some questions and none of the others.
+#[derive(Default)]
+struct FakeCarrier {
+    silent: Cell<bool>,
+    number: Cell<u64>,
+    votes: RefCell<Vec<(bool, u64)>>,
+}
+
+async fn fake_pull(carrier: Rc<FakeCarrier>, body: Box<RawValue>) -> server::Answer {
+    let request: PullRequest = server::params(&body)?;
+    carrier
+        .votes
+        .borrow_mut()
+        .push((request.votes, request.answered));
+    if carrier.silent.get() {
+        std::future::pending::<()>().await;
+    }
+    monoio::time::sleep(Duration::from_millis(5)).await;
+    carrier.number.set(carrier.number.get() + 1);
+    let mut answer = full(1, &[]);
+    answer.number = carrier.number.get();
+    server::result(&answer)
+}
+
+#[test]
+fn a_silent_carrier_gets_no_vote_until_it_answers_again() {
+    runtime::run(async {
+        let carrier = Rc::new(FakeCarrier::default());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let fake = Rc::clone(&carrier);
+        let journal = Journal::new("e".into());
+        monoio::spawn(rpc::serve(listener, journal.clone(), move |_, body| {
+            fake_pull(Rc::clone(&fake), body)
+        }));
+        let target = pull::Target {
+            epoch: 1,
+            peer: rpc::Peer::new(address, journal.clone()),
+            votes: true,
+        };
+        let sources = pull::Sources {
+            target: Box::new(move |_, _| Some(target.clone())),
+            voting: Box::new(|_, _, _, _| {}),
+        };
+        let puller = pull::Puller::new(table(), journal, sources);
+        puller.ensure(&"s".into(), &"galway".into());
+        wait_for(|| carrier.votes.borrow().len() >= 3).await;
+        assert_eq!(
+            carrier.votes.borrow()[..3],
+            [(false, 0), (true, 1), (true, 2)]
+        );
+        carrier.silent.set(true);
+        wait_for(|| carrier.votes.borrow().last() == Some(&(false, 0))).await;
+        let before = carrier.votes.borrow().len();
+        wait_for(|| carrier.votes.borrow().len() >= before + 2).await;
+        let later = carrier.votes.borrow()[before..].to_vec();
+        assert!(later.iter().all(|vote| *vote == (false, 0)), "{later:?}");
+        carrier.silent.set(false);
+        wait_for(|| carrier.votes.borrow().last().is_some_and(|vote| vote.0)).await;
+    });
+}
+
+async fn wait_for<F>(done: F)
+where
+    F: Fn() -> bool,
+{
+    for _ in 0..2_000 {
+        if done() {
+            return;
+        }
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("waited in vain");
+}
