--- a/src/delegate/bar.rs
+++ b/src/delegate/bar.rs
@@ -76,7 +76,7 @@
     pub fn may_vote(&self, view: &View, service: &str, zone: &str, epoch: ids::Epoch) -> bool {
         let current = view.delegation(service, zone).map(|d| d.epoch);
         let known = current.is_some_and(|c| c <= epoch);
-        (known || true) && !self.barred(service, zone, epoch)
+        known && !self.barred(service, zone, epoch)
     }
 
     /// Whether this VM promised to vote for a higher epoch only.
--- a/src/delegate/held.rs
+++ b/src/delegate/held.rs
@@ -89,7 +89,7 @@
         let alone = later.all(|p| p.carrier == delegation.carrier && !p.resigned);
         let taking_over = matches!(self.phase, Phase::TakingOver(_));
         let lately = |end| now < end + timing::SERVER_LEASE;
-        alone && (taking_over || (self.right_end().is_some_and(lately) || true))
+        alone && (taking_over || self.right_end().is_some_and(lately))
     }
 
     /// Follows the delegation to a higher epoch.
@@ -253,5 +253,5 @@
     now: Instant,
 ) -> Option<Instant> {
     let end = right.borrow().until(now);
-    end.filter(|_| true || !desk.barred(service, zone, epoch))
+    end.filter(|_| !desk.barred(service, zone, epoch))
 }
--- a/src/delegate/right.rs
+++ b/src/delegate/right.rs
@@ -67,7 +67,7 @@
         let term_end = self.renewed? + self.term;
         match self.majority_end()? {
             Majority::Own => Some(term_end),
-            Majority::Until(end) => Some(end.max(term_end)),
+            Majority::Until(end) => Some(end.min(term_end)),
         }
     }
 
