Add a load generator; declare the number of heartbeats once

Cause: trials and tests need load whose callers' side can be held against what the backend servers recorded.

Change: examples/load has many connections with one request each, keys by a Zipf distribution, a share of claims and resends under the same id. It prints one JSON line with counts by status and verdict, latency and the longest time without a request done, and can write down what it was told about each claim.

Conclusion: it runs until a time or a count, and never without a bound.

--- a/examples/backend/server.rs
+++ b/examples/backend/server.rs
@@ -39,8 +39,6 @@
     pub(crate) beat: Cell<u64>,
     /// Wakes the heartbeat before its time.
     pub(crate) asked: Notify,
-    /// Number of the last heartbeat.
-    pub(crate) beat: Cell<u64>,
     slots: Semaphore,
     running: Cell<u32>,
     waiting: Cell<u32>,
@@ -92,7 +90,6 @@
             drained: Cell::default(),
             beat: Cell::default(),
             asked: Notify::default(),
-            beat: Cell::new(0),
             slots: Semaphore::new(options.slots.max(1) as usize),
             running: Cell::default(),
             waiting: Cell::default(),
--- /dev/null
+++ b/examples/load/main.rs
@@ -0,0 +1,68 @@
+//! A load generator for trials and tests over loopback.
+//!
+//! Each connection has one request under way at a time. At the end one JSON
+//! line says what the callers were told, how long it took, and the longest
+//! time in which no request was done.
+
+mod caller;
+mod keys;
+mod options;
+mod tally;
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use agateyoke::runtime;
+
+use caller::{Caller, Shared};
+use keys::Keys;
+use options::Options;
+use tally::Tally;
+
+/// Most connections.
+const CONNECTIONS_LIMIT: u32 = 4096;
+
+/// Longest run.
+const SECONDS_LIMIT: u64 = 3600;
+
+fn main() -> ExitCode {
+    match runtime::run(load(argh::from_env())) {
+        Ok(summary) => {
+            println!("{summary}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn load(options: Options) -> io::Result<String> {
+    let seconds = Duration::from_secs(options.seconds.min(SECONDS_LIMIT));
+    let shared = Rc::new(Shared {
+        keys: Keys::new(options.keys, options.zipf),
+        tally: RefCell::new(Tally::new(options.outcomes.as_deref())?),
+        end: Instant::now() + seconds,
+        sent: Cell::new(0),
+        options,
+    });
+    let connections = 0..shared.options.connections.min(CONNECTIONS_LIMIT);
+    let targets = shared.options.target.iter().cycle();
+    let seed = shared.options.seed;
+    let callers: Vec<_> = connections
+        .zip(targets)
+        .map(|(i, target)| {
+            let seed = seed.wrapping_mul(u64::from(CONNECTIONS_LIMIT)) + u64::from(i);
+            monoio::spawn(Caller::new(&shared, *target, seed).run())
+        })
+        .collect();
+    for caller in callers {
+        caller.await?;
+    }
+    let summary = shared.tally.borrow().summary();
+    serde_json::to_string(&summary).map_err(io::Error::other)
+}
