Split the memory of a duty by what asks of it

Ruled out: separate types for each part; they all change the same pieces. Change: heartbeat, map, report, round and steps stand beside state; no line of logic changed. Conclusion: each file has one job.

--- /dev/null
+++ b/src/grant/map.rs
@@ -0,0 +1,66 @@
+//! The route map as entry VMs get it: whole, or as changes since a version.
+
+use std::time::Instant;
+
+use super::piece::Piece;
+use super::state::State;
+use super::subscriber::Subscriber;
+use crate::ids;
+use crate::route::{PullAnswer, PullRequest};
+
+impl State {
+    /// Takes in a question; returns when the answer that it repeats was sent.
+    pub(super) fn heard(&mut self, now: Instant, request: &PullRequest) -> Option<Instant> {
+        let known = self.epochs.contains(&request.map_epoch);
+        let vm = ids::VmName::clone(&request.vm);
+        self.take_loads(&request.loads);
+        let entry = self.subscribers.entry(vm);
+        let subscriber = entry.or_insert_with(|| Subscriber::new(now));
+        if known && request.version <= self.version {
+            subscriber.confirmed = subscriber.confirmed.max(request.version);
+        }
+        subscriber.sent(request.answered)
+    }
+
+    /// Whether there is news for the map that the question names.
+    pub(super) fn newer(&self, request: &PullRequest) -> bool {
+        self.version != request.version || !self.epochs.contains(&request.map_epoch)
+    }
+
+    /// Composes an answer; without a right it carries no map.
+    pub(super) fn answer(
+        &mut self,
+        now: Instant,
+        request: &PullRequest,
+        mapped: bool,
+    ) -> PullAnswer {
+        self.answers += 1;
+        let number = self.answers;
+        let vm = ids::VmName::clone(&request.vm);
+        let entry = self.subscribers.entry(vm);
+        let subscriber = entry.or_insert_with(|| Subscriber::new(now));
+        subscriber.answer(number, now, mapped);
+        if !mapped {
+            return PullAnswer {
+                number,
+                ..PullAnswer::default()
+            };
+        }
+        let held = request.version;
+        let known = self.epochs.contains(&request.map_epoch);
+        let full = !known || held > self.version || held < self.gone_floor;
+        let since = if full { 0 } else { held };
+        let gone = self.gone.iter().filter(|(v, _)| !full && *v > since);
+        let routes = self.pieces.values().filter(|p| p.stamp > since);
+        let servers = self.servers.values().filter(|s| s.stamp > since);
+        PullAnswer {
+            number,
+            epoch: self.epoch,
+            version: self.version,
+            full,
+            gone: gone.map(|(_, s)| *s).collect(),
+            routes: routes.map(Piece::route).collect(),
+            servers: servers.map(|s| s.info.clone()).collect(),
+        }
+    }
+}
--- a/src/grant/mod.rs
+++ b/src/grant/mod.rs
@@ -7,12 +7,17 @@
 
 pub mod duties;
 pub mod duty;
+mod heartbeat;
+mod map;
 pub mod messages;
 mod moves;
 pub mod overview;
 mod piece;
+mod report;
+mod round;
 mod server;
 mod state;
+mod steps;
 mod subscriber;
 mod takeover;
 
