--- a/src/announce/desk.rs
+++ b/src/announce/desk.rs
@@ -38,7 +38,7 @@
 /// The desk where backend servers announce themselves.
 pub struct Desk {
     zone: ids::ZoneName,
-    duties: Rc<Duties>,
+    pub(super) duties: Rc<Duties>,
     carrier_of: CarrierOf,
     heard: RefCell<BTreeMap<(ids::ServiceName, ids::ServerName), Mark>>,
 }
--- a/src/announce/tests.rs
+++ b/src/announce/tests.rs
@@ -1,14 +1,17 @@
 //! Tests of the desk.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::check::BadAnnouncement;
 use super::{Desk, Reply};
 use crate::clock;
+use crate::delegate::Delegation;
 use crate::grant::messages::Elsewhere;
-use crate::grant::{Duties, Grant, LeaseRequest};
+use crate::grant::{Duties, Duty, Grant, Inherited, LeaseRequest, Rights};
 use crate::keys::{SPACE, Span};
+use crate::timeline::Journal;
 
 fn request() -> LeaseRequest {
     LeaseRequest {
@@ -49,6 +52,46 @@
     assert!(desk.heard(now + Duration::from_secs(3)).is_empty());
 }
 
+#[test]
+fn the_carrier_answers_and_says_when_it_may_not_act() {
+    let (desk, now) = (desk(), clock::now());
+    let until = Rc::new(Cell::new(None));
+    let rights = Rights {
+        until: Box::new({
+            let until = Rc::clone(&until);
+            move |_| until.get()
+        }),
+        vote: Box::new(|_, _| {}),
+    };
+    let delegation = Delegation {
+        service: "depot".into(),
+        zone: "galway".into(),
+        epoch: 3,
+        carrier: "vm".into(),
+        voters: vec!["vm".into()],
+        tiebreak: false,
+        term: Duration::from_secs(2),
+        spans: vec![Span::ALL],
+        prior: None,
+    };
+    let document = serde_json::json!({ "service": "depot", "ranks": [], "routes": [] });
+    let document = Rc::new(serde_json::from_value(document).unwrap());
+    let journal = Journal::new("vm".into());
+    let duty = Duty::new(&delegation, document, Inherited::default(), rights, journal);
+    desk.duties.insert(duty);
+    assert_eq!(desk.lease(now, &request()), Reply::NotNow);
+    until.set(Some(now + Duration::from_secs(1)));
+    let Reply::Lease(answer) = desk.lease(now, &request()) else {
+        panic!("no lease");
+    };
+    assert_eq!((answer.epoch, answer.grants.len()), (3, 0));
+    assert_eq!(
+        desk.lease(now, &request()),
+        Reply::NotNow,
+        "an old question"
+    );
+}
+
 #[test]
 fn announcements_without_sense_are_refused() {
     let bad = |change: fn(&mut LeaseRequest)| {
--- a/src/grant/tests.rs
+++ b/src/grant/tests.rs
@@ -63,6 +63,23 @@
     );
 }
 
+#[test]
+fn lost_spans_are_served_again_within_a_second() {
+    for kill in 0..100 {
+        let (duty, mut now) = (carrier(), clock::now());
+        let mut servers: Vec<LeaseRequest> = ["a", "b", "c"].map(|s| beat(s, true)).into();
+        settle(&duty, &mut now, &mut servers, SECOND);
+        servers[0].beat += 1;
+        duty.lease(now, &servers.remove(0)).unwrap();
+        let last = now;
+        now += Duration::from_millis(kill);
+        while !duty.overview().dark.is_empty() || now < last + SECOND / 2 {
+            settle(&duty, &mut now, &mut servers, Duration::from_millis(20));
+        }
+        assert!(now < last + SECOND);
+    }
+}
+
 #[test]
 fn a_restarted_server_holds_nothing_until_the_old_lease_is_over() {
     let (duty, mut now) = (carrier(), clock::now());
