--- a/src/grant/tests.rs
+++ b/src/grant/tests.rs
@@ -94,6 +94,22 @@
     assert_eq!(servers[0].holds.len(), 16);
 }
 
+#[test]
+fn a_replaced_start_is_answered_only_once_the_new_one_is_lost() {
+    let (duty, mut now) = (carrier(), clock::now());
+    let mut servers = vec![beat("a", true)];
+    settle(&duty, &mut now, &mut servers, SECOND);
+    let mut old = servers[0].clone();
+    servers[0] = beat("a", true);
+    servers[0].incarnation = "second".into();
+    settle(&duty, &mut now, &mut servers, SECOND / 5);
+    old.beat += 1;
+    assert!(duty.lease(now, &old).is_none());
+    now += SECOND;
+    duty.tick(now);
+    assert!(duty.lease(now, &old).is_some());
+}
+
 #[test]
 fn a_draining_server_gives_all_its_spans_away_and_is_told_so() {
     let (duty, mut now) = (carrier(), clock::now());
