Delegate: a new carrier counts only on VMs in touch

Cause: a carrier appointed after two of three VMs were lost needed the vote of one of them until it had been silent for 2 s. Ruled out: dropping silent voters faster everywhere, since every short silence would then take an epoch. Change: on replacement only entry VMs in touch vote; others are added once they are in touch, and dropped after 2 s of silence as before. The property also parts pairs of VMs.

--- a/src/delegate/appoint.rs
+++ b/src/delegate/appoint.rs
@@ -328,7 +328,13 @@
             .iter()
             .filter(|vm| again || **vm != delegation.carrier);
         let carrier = choose::carrier(&delegation.service, others)?;
-        Some(self.appoint(now, store, described, delegation, carrier, resigned))
+        Some(appoint(
+            described,
+            delegation,
+            carrier,
+            &candidates,
+            resigned,
+        ))
     }
 
     /// The same carrier with other voters or another term.
@@ -341,7 +347,9 @@
     ) -> Option<Change> {
         let carrier = &delegation.carrier;
         let candidates = self.in_touch(now, store, &delegation.zone);
-        let change = self.appoint(now, store, described, delegation, carrier, false);
+        let mut others = self.alive(now, store, &delegation.zone);
+        others.retain(|vm| delegation.voters.contains(vm) || candidates.contains(vm));
+        let change = appoint(described, delegation, carrier, &others, false);
         let same = matches!(
             &change,
             Change::Appoint { appointment, .. }
@@ -350,26 +358,6 @@
         (!same && candidates.contains(carrier)).then_some(change)
     }
 
-    fn appoint(
-        &self,
-        now: Instant,
-        store: &Store,
-        described: &Described,
-        delegation: &Delegation,
-        carrier: &ids::VmName,
-        resigned: bool,
-    ) -> Change {
-        let service = &delegation.service;
-        let alive = self.alive(now, store, &delegation.zone);
-        let voters = choose::voters(service, carrier, &delegation.voters, &alive);
-        Change::Appoint {
-            service: Arc::clone(service),
-            epoch: delegation.epoch,
-            appointment: choose::appointment(&delegation.zone, carrier, voters, described.term),
-            resigned,
-        }
-    }
-
     fn not_lately_proposed(&mut self, now: Instant, changes: Vec<Change>) -> Vec<Change> {
         self.proposed.retain(|(at, _)| now < *at + PROPOSE_AGAIN);
         let known = &self.proposed;
@@ -392,6 +380,23 @@
     }
 }
 
+fn appoint(
+    described: &Described,
+    delegation: &Delegation,
+    carrier: &ids::VmName,
+    others: &[ids::VmName],
+    resigned: bool,
+) -> Change {
+    let service = &delegation.service;
+    let voters = choose::voters(service, carrier, &delegation.voters, others);
+    Change::Appoint {
+        service: Arc::clone(service),
+        epoch: delegation.epoch,
+        appointment: choose::appointment(&delegation.zone, carrier, voters, described.term),
+        resigned,
+    }
+}
+
 /// The key of a delegation.
 pub(super) fn key(delegation: &Delegation) -> Key {
     (
--- a/src/delegate/tests/office.rs
+++ b/src/delegate/tests/office.rs
@@ -54,6 +54,23 @@
     assert!(prior.iter().all(|p| *p.carrier == *carrier));
 }
 
+#[test]
+fn a_new_carrier_needs_no_vote_of_a_silent_vm() {
+    let mut control = delegated();
+    let carrier = control.carrier("a");
+    go_on(&mut control, 12, &[&carrier], (2, 1));
+    let voters = |control: &Control| {
+        let delegation = control.store.delegation(KIOSK, "a").unwrap();
+        (delegation.epoch, delegation.voters.len())
+    };
+    let replaced = voters(&control);
+    assert_eq!(replaced.1, 1);
+    go_on(&mut control, 60, &[&carrier], (2, 1));
+    assert_eq!(voters(&control), replaced);
+    go_on(&mut control, 2, &[], (2, 1));
+    assert_eq!(voters(&control).1, 2);
+}
+
 #[test]
 fn a_new_leader_waits_before_it_replaces() {
     let mut control = delegated();
--- a/src/delegate/tests/properties.rs
+++ b/src/delegate/tests/properties.rs
@@ -43,6 +43,10 @@
             world.cut.insert(world.vms[i].name);
         }
         10..=12 => world.cut.clear(),
+        13..=15 => {
+            let i = world.rng.usize(1..world.vms.len());
+            world.parted = Some((world.rng.usize(0..i), i));
+        }
         _ => {}
     }
 }
--- a/src/delegate/tests/world.rs
+++ b/src/delegate/tests/world.rs
@@ -43,6 +43,8 @@
     pub(super) late: u64,
     /// Names of VMs that are cut off from the control VMs.
     pub(super) cut: BTreeSet<&'static str>,
+    /// Two VMs that do not hear each other.
+    pub(super) parted: Option<(usize, usize)>,
     pub(super) vms: Vec<Vm>,
     pub(super) servers: Vec<Server>,
     pub(super) store: Store,
@@ -200,6 +202,7 @@
             loss: 0,
             late: 0,
             cut: BTreeSet::new(),
+            parted: None,
             vms,
             servers,
             store: Store::default(),
@@ -300,7 +303,13 @@
             | Message::Renewed(i, ..) => self.cut.contains(self.vms[*i].name),
             _ => false,
         };
-        let lost = far || self.rng.u64(0..100) < self.loss;
+        let parted = match &message {
+            Message::Pull(a, b, _) | Message::Bar(a, b, ..) | Message::Barred(a, b, ..) => {
+                self.parted == Some((*a.min(b), *a.max(b)))
+            }
+            _ => false,
+        };
+        let lost = far || parted || self.rng.u64(0..100) < self.loss;
         let late = self.rng.u64(0..100) < self.late;
         let delay = self.rng.u64(0..if late { 900 } else { 12 });
         if !lost {
