--- a/src/delegate/carrier.rs
+++ b/src/delegate/carrier.rs
@@ -231,8 +231,7 @@
         let Some(mine) = held.get_mut(key) else {
             return;
         };
-        if mine.continues(now, delegation) {
-            mine.rebase(now, delegation);
+        if mine.continues(now, delegation) && mine.rebase(now, delegation) {
             self.ask_all(now, mine);
             return;
         }
--- a/src/delegate/held.rs
+++ b/src/delegate/held.rs
@@ -92,21 +92,23 @@
         alone && (taking_over || self.right_end().is_some_and(lately))
     }
 
-    /// Follows the delegation to a higher epoch.
-    pub(super) fn rebase(&mut self, now: Instant, delegation: &Rc<Delegation>) {
-        self.delegation = Rc::clone(delegation);
-        self.epoch.set(delegation.epoch);
-        self.right.borrow_mut().rebase(delegation);
+    /// Follows the delegation to a higher epoch; false if the duty can't go on.
+    pub(super) fn rebase(&mut self, now: Instant, delegation: &Rc<Delegation>) -> bool {
         match &mut self.phase {
             Phase::TakingOver(takeover) => {
                 let rebased = takeover.borrow().rebased(now, delegation);
                 *takeover = Rc::new(RefCell::new(rebased));
             }
-            Phase::Acting(duty) => {
-                duty.rebase(delegation);
-                self.carries(true);
-            }
+            Phase::Acting(duty) if duty.rebase(delegation) => {}
+            Phase::Acting(_) => return false,
+        }
+        self.delegation = Rc::clone(delegation);
+        self.epoch.set(delegation.epoch);
+        self.right.borrow_mut().rebase(delegation);
+        if self.acting().is_some() {
+            self.carries(true);
         }
+        true
     }
 
     /// The end of the carriers before, once it has passed and the duty is not yet carried.
--- a/src/delegate/tests/mod.rs
+++ b/src/delegate/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod desk;
 mod fixture;
+mod live;
 mod office;
 mod properties;
 mod right;
--- a/src/delegate/tests/world.rs
+++ b/src/delegate/tests/world.rs
@@ -62,6 +62,8 @@
     last_acted: BTreeMap<&'static str, u64>,
     /// Spans that were reported released, by epoch.
     given: BTreeMap<u64, Vec<Span>>,
+    /// Last fence that a server took, by start of the span.
+    fences: BTreeMap<u64, u64>,
 }
 
 pub(super) struct Vm {
@@ -121,7 +123,7 @@
     Leased(usize, u64, LeaseAnswer),
 }
 
-fn document(term: u64) -> Document {
+pub(super) fn document(term: u64) -> Document {
     Document {
         service: KIOSK.into(),
         ranks: Vec::new(),
@@ -218,6 +220,7 @@
             epochs: BTreeMap::new(),
             last_acted: BTreeMap::new(),
             given: BTreeMap::new(),
+            fences: BTreeMap::new(),
         }
     }
 
@@ -397,7 +400,13 @@
                 }
             }
             Message::Leased(i, sent, answer) if self.servers[i].asking == Some(sent) => {
-                self.servers[i].take(at, sent, &answer);
+                for grant in self.servers[i].take(at, sent, &answer) {
+                    let last = self.fences.insert(grant.span.start, grant.fence);
+                    assert!(
+                        last.is_none_or(|last| last < grant.fence),
+                        "{grant:?} at {at}"
+                    );
+                }
             }
             Message::Watch(..) | Message::Renew(..) | Message::News(..) | Message::Leased(..) => {}
         }
@@ -655,7 +664,8 @@
         }
     }
 
-    fn take(&mut self, at: u64, sent: u64, answer: &LeaseAnswer) {
+    /// Takes in an answer; gives the grants that are new.
+    fn take(&mut self, at: u64, sent: u64, answer: &LeaseAnswer) -> Vec<Grant> {
         self.expire(at);
         let lease = u64::try_from(answer.lease.as_millis()).unwrap();
         self.lease_end = sent + lease;
@@ -666,5 +676,7 @@
         let highest = self.grants.iter().map(|g| g.fence).max();
         self.floor = highest.unwrap_or(0).max(floor);
         self.expire(at);
+        let new = self.grants.iter().filter(|g| !held.contains(g));
+        new.copied().collect()
     }
 }
--- a/src/grant/state.rs
+++ b/src/grant/state.rs
@@ -704,9 +704,8 @@
     pub(super) fn goes_on(&self, delegation: &Delegation) -> bool {
         let same = delegation.epoch > self.epoch && delegation.carrier == self.carrier;
         let first = self.epochs.first().copied().unwrap_or_default();
-        let prior = delegation.prior.as_ref();
         let own = |p: &Prior| p.carrier == self.carrier && self.epochs.contains(&p.epoch);
-        same && prior.is_none_or(|p| p.epoch < first || own(p))
+        same && delegation.prior.iter().all(|p| p.epoch < first || own(p))
     }
 
     /// Goes on under a higher epoch with other spans.
--- a/src/grant/tests/fixture.rs
+++ b/src/grant/tests/fixture.rs
@@ -83,6 +83,7 @@
         carrier: carrier.into(),
         voters: vec![carrier.into()],
         tiebreak: false,
+        term: Duration::from_secs(2),
         resigned: true,
     }
 }
