--- a/src/delegate/tests/world.rs
+++ b/src/delegate/tests/world.rs
@@ -43,6 +43,8 @@
     pub(super) late: u64,
     /// Names of VMs that are cut off from the control VMs.
     pub(super) cut: BTreeSet<&'static str>,
+    /// Two VMs that do not hear each other.
+    pub(super) parted: Option<(usize, usize)>,
     pub(super) vms: Vec<Vm>,
     pub(super) servers: Vec<Server>,
     pub(super) store: Store,
@@ -60,6 +62,8 @@
     last_acted: BTreeMap<&'static str, u64>,
     /// Spans that were reported released, by epoch.
     given: BTreeMap<u64, Vec<Span>>,
+    /// Last fence that a server took, by start of the span.
+    fences: BTreeMap<u64, u64>,
 }
 
 pub(super) struct Vm {
@@ -119,7 +123,7 @@
     Leased(usize, u64, LeaseAnswer),
 }
 
-fn document(term: u64) -> Document {
+pub(super) fn document(term: u64) -> Document {
     Document {
         service: KIOSK.into(),
         ranks: Vec::new(),
@@ -200,6 +204,7 @@
             loss: 0,
             late: 0,
             cut: BTreeSet::new(),
+            parted: None,
             vms,
             servers,
             store: Store::default(),
@@ -215,6 +220,7 @@
             epochs: BTreeMap::new(),
             last_acted: BTreeMap::new(),
             given: BTreeMap::new(),
+            fences: BTreeMap::new(),
         }
     }
 
@@ -300,7 +306,13 @@
             | Message::Renewed(i, ..) => self.cut.contains(self.vms[*i].name),
             _ => false,
         };
-        let lost = far || self.rng.u64(0..100) < self.loss;
+        let parted = match &message {
+            Message::Pull(a, b, _) | Message::Bar(a, b, ..) | Message::Barred(a, b, ..) => {
+                self.parted == Some((*a.min(b), *a.max(b)))
+            }
+            _ => false,
+        };
+        let lost = far || parted || self.rng.u64(0..100) < self.loss;
         let late = self.rng.u64(0..100) < self.late;
         let delay = self.rng.u64(0..if late { 900 } else { 12 });
         if !lost {
@@ -388,7 +400,13 @@
                 }
             }
             Message::Leased(i, sent, answer) if self.servers[i].asking == Some(sent) => {
-                self.servers[i].take(at, sent, &answer);
+                for grant in self.servers[i].take(at, sent, &answer) {
+                    let last = self.fences.insert(grant.span.start, grant.fence);
+                    assert!(
+                        last.is_none_or(|last| last < grant.fence),
+                        "{grant:?} at {at}"
+                    );
+                }
             }
             Message::Watch(..) | Message::Renew(..) | Message::News(..) | Message::Leased(..) => {}
         }
@@ -646,7 +664,8 @@
         }
     }
 
-    fn take(&mut self, at: u64, sent: u64, answer: &LeaseAnswer) {
+    /// Takes in an answer; gives the grants that are new.
+    fn take(&mut self, at: u64, sent: u64, answer: &LeaseAnswer) -> Vec<Grant> {
         self.expire(at);
         let lease = u64::try_from(answer.lease.as_millis()).unwrap();
         self.lease_end = sent + lease;
@@ -657,5 +676,7 @@
         let highest = self.grants.iter().map(|g| g.fence).max();
         self.floor = highest.unwrap_or(0).max(floor);
         self.expire(at);
+        let new = self.grants.iter().filter(|g| !held.contains(g));
+        new.copied().collect()
     }
 }
