Delegate: a carrier that gave up gets its duty again only if no other can

Cause: two entry VMs on loopback showed a stopping carrier being appointed anew every 20 ms, as it was still in touch and had the highest hash. Ruled out: relying on its word that it stops, which arrives with its next question only. Change: other VMs go first; the same one gets the duty again only where no other is in touch, and after 500 ms under one epoch.

--- a/src/delegate/appoint.rs
+++ b/src/delegate/appoint.rs
@@ -36,6 +36,9 @@
 /// Time between decisions after which this VM was frozen and has missed what it was told.
 const FROZEN: Duration = Duration::from_millis(100);
 
+/// Time after which a carrier that gave up its duty may get it again, if no other can.
+const AGAIN: Duration = Duration::from_millis(500);
+
 /// Time after which a change that is still due is proposed again.
 const PROPOSE_AGAIN: Duration = Duration::from_millis(500);
 
@@ -323,11 +326,13 @@
         let known = self.duties.get(&key(delegation))?;
         let resigned = known.standing == Standing::Resigned;
         let candidates = self.in_touch(now, store, &delegation.zone);
-        let again = known.standing >= Standing::Ousted;
-        let others = candidates
+        let others = candidates.iter().filter(|vm| **vm != delegation.carrier);
+        let again = known.standing >= Standing::Ousted && known.appointed_for(now) >= AGAIN;
+        let same = candidates
             .iter()
-            .filter(|vm| again || **vm != delegation.carrier);
-        let carrier = choose::carrier(&delegation.service, others)?;
+            .filter(|vm| again && **vm == delegation.carrier);
+        let carrier = choose::carrier(&delegation.service, others)
+            .or_else(|| choose::carrier(&delegation.service, same))?;
         Some(appoint(
             described,
             delegation,
--- a/src/delegate/known.rs
+++ b/src/delegate/known.rs
@@ -97,6 +97,11 @@
         self.released.clear();
     }
 
+    /// How long the present epoch has been known.
+    pub(super) fn appointed_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.first)
+    }
+
     /// When the carrier was last heard, or else this epoch first seen.
     pub(super) fn heard(&self) -> Instant {
         self.renewed.map_or(self.first, |at| at.max(self.first))
--- a/src/delegate/tests/fixture.rs
+++ b/src/delegate/tests/fixture.rs
@@ -96,6 +96,21 @@
         zone: &str,
         servers: u32,
         released: &[crate::keys::Span],
+    ) -> Option<Vec<crate::keys::Span>> {
+        self.report(zone, servers, released, false)
+    }
+
+    /// The carrier of a zone gives up its duty.
+    pub(super) fn resign(&mut self, zone: &str) {
+        assert_eq!(self.report(zone, 0, &[], true), None);
+    }
+
+    fn report(
+        &mut self,
+        zone: &str,
+        servers: u32,
+        released: &[crate::keys::Span],
+        resigned: bool,
     ) -> Option<Vec<crate::keys::Span>> {
         let delegation = self.store.delegation(KIOSK, zone).unwrap().clone();
         self.number += 1;
@@ -106,7 +121,7 @@
             servers,
             slots: servers * 6,
             released: released.to_vec(),
-            resigned: false,
+            resigned,
         };
         let request = RenewRequest {
             vm: delegation.carrier,
--- a/src/delegate/tests/office.rs
+++ b/src/delegate/tests/office.rs
@@ -7,6 +7,10 @@
     changes.iter().any(|c| matches!(c, Change::Appoint { .. }))
 }
 
+fn appoints(change: &Change, zone: &str) -> bool {
+    matches!(change, Change::Appoint { appointment, .. } if *appointment.zone == *zone)
+}
+
 /// Both zones go on for a while, without the VMs in `silent`.
 fn go_on(control: &mut Control, steps: usize, silent: &[&str], servers: (u32, u32)) -> Vec<Change> {
     let mut done = Vec::new();
@@ -127,6 +131,21 @@
     assert_eq!(control.renew("a", 2, &[]), None);
 }
 
+#[test]
+fn a_carrier_that_gave_up_gets_its_duty_again_only_if_no_other_can() {
+    let mut control = delegated();
+    let carrier = control.carrier("a");
+    control.resign("a");
+    control.decide();
+    assert_ne!(control.carrier("a"), carrier);
+    control.resign("b");
+    let again = |changes: Vec<Change>| changes.iter().any(|c| appoints(c, "b"));
+    assert!(again(go_on(&mut control, 1, &["a1", "a2"], (2, 1))));
+    control.resign("b");
+    assert!(!again(go_on(&mut control, 9, &["a1", "a2"], (2, 1))));
+    assert!(again(go_on(&mut control, 3, &["a1", "a2"], (2, 1))));
+}
+
 #[test]
 fn a_lost_zone_keeps_its_spans_until_everything_has_run_out() {
     let mut control = delegated();
