--- a/src/delegate/tests/mod.rs
+++ b/src/delegate/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of delegations.
 
+mod carrier;
 mod desk;
 mod fixture;
 mod live;
