--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -85,6 +85,9 @@
 impl Handle {
     /// Appends a command; answers with its output once it is committed and applied here.
     ///
+    /// It waits for as long as a majority answers, however slow their disks are; a
+    /// caller that gives up must take the command for one that may yet commit.
+    ///
     /// # Errors
     ///
     /// [`ProposeError::NotLeader`] only if certainly nothing was appended.
--- a/src/log/members.rs
+++ b/src/log/members.rs
@@ -256,17 +256,20 @@
 }
 
 /// Adds a disk that learns, in place of any other disk of its VM that does so.
-fn with_learner(members: &Membership, seat: &Seat) -> Membership {
+pub(super) fn with_learner(members: &Membership, seat: &Seat) -> Membership {
     let mut members = members.clone();
     if members.seat(&seat.disk).is_none() {
         members.seats.retain(|s| s.voter || s.vm != seat.vm);
-        members.seats.push(seat.clone());
+        members.seats.push(Seat {
+            voter: false,
+            ..seat.clone()
+        });
     }
     members
 }
 
 /// Removes the lost voter of a VM once the new disk holds all that is committed.
-fn without_lost(state: &State, members: &Membership, seat: &Seat) -> Edit {
+pub(super) fn without_lost(state: &State, members: &Membership, seat: &Seat) -> Edit {
     if !has_caught_up(state, seat) {
         return wait_for(members, seat);
     }
@@ -278,7 +281,7 @@
 }
 
 /// Makes a disk a voter once it holds all that is committed.
-fn with_voter(state: &State, members: &Membership, seat: &Seat) -> Edit {
+pub(super) fn with_voter(state: &State, members: &Membership, seat: &Seat) -> Edit {
     if !has_caught_up(state, seat) {
         return wait_for(members, seat);
     }
@@ -303,6 +306,7 @@
 }
 
 /// What is to be done about members.
+#[derive(Debug, PartialEq, Eq)]
 pub(super) enum Edit {
     /// It is too early.
     Wait,
--- a/src/log/replicate.rs
+++ b/src/log/replicate.rs
@@ -24,10 +24,10 @@
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Size at which a message takes no more entries, in bytes.
-const APPEND_BYTES: usize = 1 << 20;
+const APPEND_BYTES: usize = 256 << 10;
 
 /// Bytes of a snapshot in one message.
-const CHUNK_BYTES: usize = 1 << 20;
+const CHUNK_BYTES: usize = 256 << 10;
 
 /// One other member, as its leader's tasks see it.
 struct Link {
--- a/src/log/tests/files.rs
+++ b/src/log/tests/files.rs
@@ -9,9 +9,11 @@
 use tempfile::TempDir;
 
 use crate::log::OpenError;
+use crate::log::disk::{Disk, Work};
 use crate::log::folder;
 use crate::log::model::{Body, Entry, Membership, Seat, Snapshot};
 use crate::log::segment;
+use crate::runtime;
 
 /// Cases of each property.
 const CASES: u64 = 200;
@@ -197,6 +199,54 @@
     assert_eq!(damaged(folder.path()).0, "0000000003.log");
 }
 
+fn segments(folder: &Path) -> Vec<u64> {
+    let contents = folder::open(folder).unwrap();
+    contents.segments.iter().map(|s| s.number).collect()
+}
+
+/// Has the disk thread do work in order, then closes it.
+fn write(folder: &Path, jobs: Vec<Work>) {
+    let contents = folder::open(folder).unwrap();
+    let mut disk = Disk::start(folder, contents.segments, contents.next, contents.lock).unwrap();
+    runtime::run(async {
+        let work = monoio::spawn(async move {
+            for job in jobs {
+                assert_eq!(disk.submit(job).await, Ok(()));
+            }
+            disk.close();
+        });
+        work.await;
+    });
+}
+
+#[test]
+fn a_snapshot_drops_the_segments_that_it_covers() {
+    let folder = TempDir::new().unwrap();
+    let save = |index| {
+        Work::Save(Arc::new(Snapshot {
+            index,
+            term: 1,
+            members: members(1),
+            data: Vec::new(),
+        }))
+    };
+    let first = Work::Append(vec![command(1, 1), command(2, 1)]);
+    write(folder.path(), vec![first, save(1)]);
+    assert_eq!(segments(folder.path()), [1]);
+    write(
+        folder.path(),
+        vec![Work::Append(vec![command(3, 1)]), save(2)],
+    );
+    assert_eq!(segments(folder.path()), [2]);
+    write(
+        folder.path(),
+        vec![save(3), Work::Append(vec![command(4, 1)])],
+    );
+    assert_eq!(segments(folder.path()), [3]);
+    let contents = folder::open(folder.path()).unwrap();
+    assert_eq!(contents.entries, [command(4, 1)]);
+}
+
 #[test]
 fn a_torn_tail_is_cut_once() {
     let folder = sample();
--- a/src/log/tests/rules.rs
+++ b/src/log/tests/rules.rs
@@ -4,6 +4,7 @@
 
 use crate::clock;
 use crate::log::entries::Entries;
+use crate::log::members::{Edit, with_learner, with_voter, without_lost};
 use crate::log::model::{Body, Membership, Seat, Vote};
 use crate::log::state::{Progress, Role, State};
 
@@ -90,6 +91,38 @@
     assert_eq!(state.changeable(), Some(&members(&["a", "b"])));
 }
 
+#[test]
+fn a_lost_disk_is_replaced_step_by_step_once_the_new_one_holds_everything() {
+    let mut state = leader(&["a", "b", "c"]);
+    state.commit = 3;
+    let new = Seat {
+        vm: "c".into(),
+        disk: "c2".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        voter: true,
+    };
+    let voters = |m: &Membership| -> Vec<_> { m.voters().map(|s| Arc::clone(&s.disk)).collect() };
+    let learning = with_learner(&members(&["a", "b", "c"]), &new);
+    assert_eq!(learning.seats.len(), 4);
+    assert_eq!(voters(&learning), ["a", "b", "c"].map(Arc::from));
+    state.progress.insert("c2".into(), progress(2, 0));
+    assert_eq!(without_lost(&state, &learning, &new), Edit::Wait);
+    assert_eq!(with_voter(&state, &learning, &new), Edit::Wait);
+    state.progress.insert("c2".into(), progress(3, 0));
+    let Edit::Make(without) = without_lost(&state, &learning, &new) else {
+        panic!("not removed");
+    };
+    assert_eq!(without.seats.len(), 3);
+    assert_eq!(voters(&without), ["a", "b"].map(Arc::from));
+    let Edit::Make(whole) = with_voter(&state, &without, &new) else {
+        panic!("no voter");
+    };
+    assert_eq!(voters(&whole), ["a", "b", "c2"].map(Arc::from));
+    state.progress.remove("c2");
+    let gone = members(&["a", "b"]);
+    assert_eq!(with_voter(&state, &gone, &new), Edit::GiveUp);
+}
+
 #[test]
 fn a_majority_is_more_than_half_of_the_voters() {
     let mut four = members(&["a", "b", "c", "d"]);
