Log: test that blank disks form nothing while one VM is not reached

Ruled out: waiting a fixed time for a cluster that must not come.

Change: a test with two blank disks and one VM that does not run; it waits for three rounds of questions to that VM.

--- a/src/log/tests/bench.rs
+++ b/src/log/tests/bench.rs
@@ -30,10 +30,19 @@
     folder: TempDir,
 }
 
-/// Three VMs, and for each pair whether calls pass.
+/// One way from a VM to another.
+#[derive(Default)]
+struct Link {
+    /// Whether calls vanish.
+    cut: Cell<bool>,
+    /// Calls that met no running member.
+    refused: Cell<usize>,
+}
+
+/// Some VMs, and for each pair whether calls pass.
 pub(super) struct Cluster {
     pub(super) vms: Vec<Vm>,
-    cuts: Vec<Vec<Rc<Cell<bool>>>>,
+    links: Vec<Vec<Rc<Link>>>,
     snapshot_entries: u64,
 }
 
@@ -70,18 +79,17 @@
 impl Cluster {
     /// VMs with empty folders, not yet started.
     pub(super) fn new(count: usize, snapshot_entries: u64) -> Self {
-        let cut = |_| Rc::new(Cell::new(false));
-        let row = |_| (0..count).map(cut).collect();
+        let row = |_| (0..count).map(|_| Rc::default()).collect();
         let mut cluster = Self {
             vms: Vec::new(),
-            cuts: (0..count).map(row).collect(),
+            links: (0..count).map(row).collect(),
             snapshot_entries,
         };
         let slots: Vec<Rc<RefCell<Option<Handle>>>> = (0..count).map(|_| Rc::default()).collect();
         for from in 0..count {
             let member = |to: usize| Member {
                 vm: name(to),
-                address: serve(&slots[to], &cluster.cuts[from][to], name(to)),
+                address: serve(&slots[to], &cluster.links[from][to], name(to)),
             };
             let folder = TempDir::new().unwrap();
             let config = Config {
@@ -148,8 +156,8 @@
     /// Cuts, or heals, all links of a member.
     pub(super) fn isolate(&self, number: usize, cut: bool) {
         for other in 0..self.vms.len() {
-            self.cuts[number][other].set(cut);
-            self.cuts[other][number].set(cut);
+            self.links[number][other].cut.set(cut);
+            self.links[other][number].cut.set(cut);
         }
     }
 
@@ -226,6 +234,11 @@
             .collect()
     }
 
+    /// How many calls of a VM to another met no running member.
+    pub(super) fn refused(&self, from: usize, to: usize) -> usize {
+        self.links[from][to].refused.get()
+    }
+
     /// Disk that names the cluster.
     pub(super) fn founder(&self) -> Arc<str> {
         self.handle(0).status().cluster.unwrap()
@@ -267,25 +280,26 @@
 /// A listener that passes calls to whatever runs in `slot`, and is silent while cut.
 fn serve(
     slot: &Rc<RefCell<Option<Handle>>>,
-    cut: &Rc<Cell<bool>>,
+    link: &Rc<Link>,
     vm: ids::VmName,
 ) -> std::net::SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let (slot, cut) = (Rc::clone(slot), Rc::clone(cut));
+    let (slot, link) = (Rc::clone(slot), Rc::clone(link));
     let handler = move |method: Box<str>, body: Box<serde_json::value::RawValue>| {
         let handle = slot.borrow().clone();
-        let cut = Rc::clone(&cut);
+        let link = Rc::clone(&link);
         async move {
             let refused = rpc::Fault::new(rpc::error::REFUSED, "not running");
-            if cut.get() {
+            if link.cut.get() {
                 std::future::pending::<()>().await;
             }
             let Some(handle) = handle else {
+                link.refused.set(link.refused.get() + 1);
                 return Err(refused);
             };
             let answer = handle.answer(&method, &body).await;
-            if cut.get() {
+            if link.cut.get() {
                 std::future::pending::<()>().await;
             }
             answer.unwrap_or(Err(refused))
--- a/src/log/tests/faults.rs
+++ b/src/log/tests/faults.rs
@@ -251,6 +251,22 @@
     });
 }
 
+#[test]
+fn blank_disks_form_nothing_while_one_vm_is_not_reached() {
+    runtime::run(async {
+        let mut cluster = Cluster::formed(3, 1000).await;
+        cluster.propose("a", NOBODY).await;
+        (0..3).for_each(|n| cluster.kill(n));
+        (0..2).for_each(|n| cluster.lose_disk(n));
+        let before = cluster.refused(0, 2);
+        (0..2).for_each(|n| cluster.start(n));
+        let formed = || cluster.events(0, "log.formed") > 1;
+        let asked = || cluster.refused(0, 2) >= before + 3;
+        until("three questions", || asked() || formed()).await;
+        assert!(!formed());
+    });
+}
+
 #[test]
 fn hundreds_of_entries_start_again_from_a_snapshot() {
     runtime::run(async {
