Vote for a carrier that may not act yet

Cause: a carrier without a right answers with no map, and the asking VM took that for no answer and never voted; a carrier that needs another entry VM's vote never got its right. Zones with one voter, or with two and the control vote, do not show it. Ruled out: voting with the first question (it names no answer, so its age cannot be known). Change: an answer without a map prolongs none, but its number is voted with. The new test saw no vote before.

--- a/src/route/pull.rs
+++ b/src/route/pull.rs
@@ -109,11 +109,11 @@
     table: Table,
     journal: Journal,
     sources: Rc<Sources>,
-    /// Epoch in which the last question was answered; `None` if it was not.
+    /// Epoch in which the last question was answered, and the answer's number; `None` if it was not.
     ///
     /// Only a carrier that answers gets votes: a vote for a silent one would
     /// keep its successor waiting.
-    answered: Cell<Option<ids::Epoch>>,
+    answered: Cell<Option<(ids::Epoch, u64)>>,
 }
 
 impl Task {
@@ -139,19 +139,25 @@
         let answer = target
             .peer
             .call::<_, PullAnswer>("route.pull", &request, timeout);
-        let taken = match answer.await {
+        let answer = answer.await;
+        let number = answer.as_ref().map_or(0, |a| a.number);
+        let taken = match answer {
+            // The carrier may not act yet: its answer prolongs no map, but can be voted with.
+            Ok(answer) if answer.epoch == 0 => true,
             Ok(answer) if answer.epoch == target.epoch => {
                 self.table.take_in(&self.service, &self.zone, answer, sent)
             }
             _ => false,
         };
-        self.answered.set(taken.then_some(target.epoch));
+        let answered = (target.epoch, number);
+        self.answered.set(taken.then_some(answered));
         taken
     }
 
     fn question(&self, target: &Target) -> Option<PullRequest> {
         let loads = self.table.take_loads(&self.service, &self.zone);
-        let answers = self.answered.get() == Some(target.epoch);
+        let answered = self.answered.get().filter(|(e, _)| *e == target.epoch);
+        let answers = answered.is_some();
         self.table
             .with_map(&self.service, &self.zone, |map| PullRequest {
                 vm: Arc::clone(self.journal.vm()),
@@ -160,7 +166,7 @@
                 epoch: target.epoch,
                 map_epoch: map.epoch(),
                 version: map.version(),
-                answered: if answers { map.answered() } else { 0 },
+                answered: answered.map_or(0, |(_, number)| number),
                 votes: target.votes && answers,
                 wait: timing::POLL_HOLD,
                 loads,
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -239,3 +239,44 @@
     }
     panic!("waited in vain");
 }
+
+#[test]
+fn a_carrier_without_a_right_gets_votes_and_its_answers_prolong_nothing() {
+    runtime::run(async {
+        let carrier = Rc::new(FakeCarrier::default());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let fake = Rc::clone(&carrier);
+        let journal = Journal::new("e".into());
+        monoio::spawn(rpc::serve(listener, journal.clone(), move |_, body| {
+            let fake = Rc::clone(&fake);
+            async move {
+                let request: PullRequest = server::params(&body)?;
+                let vote = (request.votes, request.answered);
+                fake.votes.borrow_mut().push(vote);
+                fake.number.set(fake.number.get() + 1);
+                monoio::time::sleep(Duration::from_millis(5)).await;
+                server::result(&PullAnswer {
+                    number: fake.number.get(),
+                    ..PullAnswer::default()
+                })
+            }
+        }));
+        let target = pull::Target {
+            epoch: 1,
+            peer: rpc::Peer::new(address, journal.clone()),
+            votes: true,
+        };
+        let sources = pull::Sources {
+            target: Box::new(move |_, _| Some(target.clone())),
+            voting: Box::new(|_, _, _, _| {}),
+        };
+        let table = table();
+        let puller = pull::Puller::new(table.clone(), journal, sources);
+        puller.ensure(&"s".into(), &"galway".into());
+        wait_for(|| carrier.votes.borrow().len() >= 3).await;
+        let first = carrier.votes.borrow()[..3].to_vec();
+        assert_eq!(first, [(false, 0), (true, 1), (true, 2)]);
+        assert!(matches!(table.find("s", 5, clock::now()), Found::Waiting));
+    });
+}
