Ask the records before a resent claim is called not-run

Cause: real processes (tests/losses.rs) showed a claim that had run and whose resend through other entry VMs was told 503 not-run, because its key had no owner just then: the entry VM looked at the records only once it had an owner and leave to send. A caller that believes it sends the claim under a new id, and it runs twice. The same held for a shed resend and for one whose record could not be put.

Ruled out: putting and taking back a record for each claim that is shed; two writes to the log for every request refused under overload.

Change: claim.look reads the record after a read barrier, without a write. Before an entry VM says not-run of a claim that it has not recorded and whose id the caller chose, it looks: an outcome is replayed, an open record or no answer is may-have-run.

--- a/src/claim/desk.rs
+++ b/src/claim/desk.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::messages::{Applied, Change, ClaimKey, Outcome};
+use serde::Serialize;
+
+use super::messages::{Applied, Change, ClaimKey, Look, Outcome};
 use crate::clock;
 use crate::control::peers::{Peers, SendError};
 use crate::keys;
@@ -14,6 +16,12 @@
 /// Wait between looks at a record that another attempt put.
 const PENDING_DELAY: Duration = Duration::from_millis(25);
 
+/// Method of a [`Change`].
+pub const CHANGE: &str = "claim.change";
+
+/// Method of a [`Look`].
+pub const LOOK: &str = "claim.look";
+
 /// How long a change goes on being sent after its request has been answered.
 const AFTERWARDS: Duration = Duration::from_mins(1);
 
@@ -74,7 +82,7 @@
         };
         let mut seen_other = false;
         loop {
-            match self.send(&change, give_up).await {
+            match self.send(CHANGE, &change, give_up).await {
                 Some(Applied::Begun) => return Begun::Mine,
                 Some(Applied::Ended { outcome }) => return Begun::Ended(outcome),
                 Some(Applied::Reused) => return Begun::Reused,
@@ -103,13 +111,18 @@
             attempt: Arc::clone(&claim.attempt),
             outcome,
         };
-        let recorded = self.send(&change, give_up).await;
+        let recorded = self.send(CHANGE, &change, give_up).await;
         if recorded.is_none() {
             self.send_afterwards(change);
         }
         recorded == Some(Applied::Done)
     }
 
+    /// What is known of a claim; `None` if that cannot be learnt until `give_up`.
+    pub async fn look(&self, look: &Look, give_up: Instant) -> Option<Applied> {
+        self.send(LOOK, look, give_up).await
+    }
+
     /// Takes the record back, as the claim is proved not to have run.
     ///
     /// Runs on by itself; until it is done a resend is told `may-have-run`.
@@ -123,18 +136,21 @@
     fn send_afterwards(&self, change: Change) {
         let desk = self.clone();
         monoio::spawn(async move {
-            desk.send(&change, clock::now() + AFTERWARDS).await;
+            desk.send(CHANGE, &change, clock::now() + AFTERWARDS).await;
         });
     }
 
-    /// Sends a change until it was applied; every change may be repeated safely.
-    async fn send(&self, change: &Change, give_up: Instant) -> Option<Applied> {
+    /// Sends a question until it was answered; each may be repeated safely.
+    async fn send<Q>(&self, method: &str, question: &Q, give_up: Instant) -> Option<Applied>
+    where
+        Q: Serialize,
+    {
         loop {
             let left = give_up.saturating_duration_since(clock::now());
             if left.is_zero() {
                 return None;
             }
-            match self.peers.call("claim.change", change, left).await {
+            match self.peers.call(method, question, left).await {
                 Ok(applied) => return Some(applied),
                 Err(SendError::Refused(_)) => return None,
                 Err(SendError::NotSent | SendError::Unsure) => {
--- a/src/claim/messages.rs
+++ b/src/claim/messages.rs
@@ -56,6 +56,15 @@
     },
 }
 
+/// Asks for the record of a claim and changes nothing, method `claim.look`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Look {
+    /// Identity.
+    pub key: ClaimKey,
+    /// Digest of method, path and body.
+    pub digest: u64,
+}
+
 /// The answer that a claim got.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outcome {
@@ -71,7 +80,7 @@
     pub fence: ids::Fence,
 }
 
-/// What a [`Change`] led to.
+/// What a [`Change`] led to, or a [`Look`] found.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "is", rename_all = "snake_case")]
 pub enum Applied {
--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -13,5 +13,5 @@
 mod tests;
 
 pub use desk::Desk;
-pub use messages::{Applied, Change, ClaimKey, Outcome};
+pub use messages::{Applied, Change, ClaimKey, Look, Outcome};
 pub use store::Store;
--- a/src/claim/store.rs
+++ b/src/claim/store.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::messages::{Applied, Change, ClaimKey, Outcome};
+use super::messages::{Applied, Change, ClaimKey, Look, Outcome};
 use crate::keys;
 
 /// Record of one claim.
@@ -90,24 +90,34 @@
         self.by_time.first().is_some_and(|(at, _)| *at <= now_ms)
     }
 
-    fn begin(&mut self, key: ClaimKey, record: Record) -> Applied {
-        match self.records.get(&key) {
-            Some(known) if known.digest != record.digest => Applied::Reused,
-            Some(Record {
-                outcome: Some(outcome),
-                ..
-            }) => Applied::Ended {
-                outcome: outcome.clone(),
-            },
-            Some(known) if known.attempt != record.attempt => Applied::Pending {
-                attempt: Arc::clone(&known.attempt),
+    /// What is known of a claim.
+    pub fn look(&self, look: &Look) -> Applied {
+        match self.records.get(&look.key) {
+            None => Applied::Absent,
+            Some(known) if known.digest != look.digest => Applied::Reused,
+            Some(known) => match &known.outcome {
+                Some(outcome) => Applied::Ended {
+                    outcome: outcome.clone(),
+                },
+                None => Applied::Pending {
+                    attempt: Arc::clone(&known.attempt),
+                },
             },
-            Some(_) => Applied::Begun,
-            None => {
+        }
+    }
+
+    fn begin(&mut self, key: ClaimKey, record: Record) -> Applied {
+        let digest = record.digest;
+        let look = Look { key, digest };
+        match self.look(&look) {
+            Applied::Pending { attempt } if attempt == record.attempt => Applied::Begun,
+            Applied::Absent => {
+                let key = look.key;
                 self.by_time.insert((record.forget_ms, key.clone()));
                 self.records.insert(key, record);
                 Applied::Begun
             }
+            known => known,
         }
     }
 
--- a/src/control/answer.rs
+++ b/src/control/answer.rs
@@ -9,6 +9,7 @@
 use super::command::{Applied, Command};
 use super::daemon::{Control, Seen};
 use super::propose;
+use crate::claim;
 use crate::clock;
 use crate::delegate::messages::WatchRequest;
 use crate::delegate::watch;
@@ -30,7 +31,8 @@
             Ok(answer)
         }
         (_, Some(answer)) => answer,
-        ("claim.change", None) => claim(&control, &body).await,
+        (claim::desk::CHANGE, None) => change_claim(&control, &body).await,
+        (claim::desk::LOOK, None) => look_at_claim(&control, &body).await,
         (about::METHOD, None) => server::result(&about(&control)),
         (other, None) => Err(server::unknown(other)),
     }
@@ -47,7 +49,7 @@
     Ok(())
 }
 
-async fn claim(control: &Control, body: &RawValue) -> Answer {
+async fn change_claim(control: &Control, body: &RawValue) -> Answer {
     let command = Command::Claim(server::params(body)?);
     match propose::propose(&control.log, &command).await {
         Ok(Applied::Claim(applied)) => server::result(&applied),
@@ -59,6 +61,13 @@
     }
 }
 
+async fn look_at_claim(control: &Control, body: &RawValue) -> Answer {
+    let look = server::params(body)?;
+    let read = control.log.read_barrier().await;
+    read.map_err(|error| propose::fault(&error))?;
+    server::result(&control.state.claims.borrow().look(&look))
+}
+
 /// This VM as it sees itself.
 pub fn about(control: &Control) -> About {
     let status = control.log.status();
--- a/src/entry/proxy/answer.rs
+++ b/src/entry/proxy/answer.rs
@@ -96,6 +96,18 @@
         Self::failure(Verdict::MayHaveRun, status, error)
     }
 
+    /// The same answer when an earlier sending may have run.
+    #[must_use]
+    pub fn unsure(self, error: &str) -> Self {
+        let mut answer = Self::may_have_run(self.response.status(), error);
+        if let Some(after) = self.response.headers().get(header::RETRY_AFTER) {
+            let headers = answer.response.headers_mut();
+            headers.insert(header::RETRY_AFTER, after.clone());
+        }
+        answer.shed = self.shed;
+        answer
+    }
+
     fn failure(verdict: Verdict, status: StatusCode, error: &str) -> Self {
         let failure = api::Failure {
             error: error.into(),
--- a/src/entry/proxy/call.rs
+++ b/src/entry/proxy/call.rs
@@ -38,6 +38,8 @@
     pub deadline: Instant,
     /// Id of the claim, if it is one.
     pub claim: Option<ids::ClaimId>,
+    /// Whether the caller chose that id, so that it may have sent the claim before.
+    pub chosen: bool,
     /// Times that it was sent.
     pub attempts: Cell<u32>,
     method: Method,
@@ -80,6 +82,7 @@
             Repeat::Claim => Some(claim_id(&head.headers)?),
             Repeat::Idempotent | Repeat::Once => None,
         };
+        let chosen = headers::claim_header(&head.headers).is_some();
         headers::clean_request(&mut head.headers);
         if !head.headers.contains_key(header::HOST) {
             headers::set(&mut head.headers, header::HOST, &service.name);
@@ -91,6 +94,7 @@
             service,
             kind,
             claim,
+            chosen,
             attempts: Cell::default(),
             method: head.method,
             uri: head.uri,
@@ -162,15 +166,14 @@
 }
 
 /// The caller's id of a claim, or a new one.
-fn claim_id(headers: &HeaderMap) -> Result<ids::ClaimId, Box<Answer>> {
-    let names = [headers::CLAIM, headers::IDEMPOTENCY_KEY];
-    let Some(name) = names.iter().find(|name| headers.contains_key(*name)) else {
+fn claim_id(found: &HeaderMap) -> Result<ids::ClaimId, Box<Answer>> {
+    let Some(name) = headers::claim_header(found) else {
         return Ok(format!("{:032x}", fastrand::u128(..)).into());
     };
     let is_id = |id: &&str| {
         !id.is_empty() && id.len() <= CLAIM_ID_BYTES && id.bytes().all(|b| b.is_ascii_graphic())
     };
-    match headers::single(headers, name.as_str()).filter(is_id) {
+    match headers::single(found, name.as_str()).filter(is_id) {
         Some(id) => Ok(id.into()),
         None => Err(Answer::not_run(
             StatusCode::BAD_REQUEST,
--- a/src/entry/proxy/carry.rs
+++ b/src/entry/proxy/carry.rs
@@ -75,9 +75,11 @@
             Verdict::NotRun if progress.unsure => unsure_after_all(&answer),
             _ => answer,
         };
-        if let Some(claim) = &progress.claim {
-            answer = self.settle(call, claim, answer).await;
-        }
+        answer = match &progress.claim {
+            Some(claim) => self.settle(call, claim, answer).await,
+            None if answer.verdict == Verdict::NotRun => self.look_back(call, answer).await,
+            None => answer,
+        };
         answer.claim.clone_from(&call.claim);
         if answer.verdict == Verdict::MayHaveRun || call.claim.is_some() {
             self.record(call, &answer);
--- a/src/entry/proxy/claims.rs
+++ b/src/entry/proxy/claims.rs
@@ -9,7 +9,7 @@
 use super::answer::Answer;
 use super::call::Call;
 use crate::claim::desk::{Begun, Claim};
-use crate::claim::messages::{ClaimKey, Outcome};
+use crate::claim::messages::{Applied, ClaimKey, Look, Outcome};
 use crate::clock;
 use crate::verdict::Verdict;
 
@@ -60,6 +60,31 @@
         Err(Box::new(refusal))
     }
 
+    /// Whether a claim that this attempt has not sent ran by an earlier one.
+    ///
+    /// Only the records can tell, as the caller may send it again by another VM.
+    pub(super) async fn look_back(&self, call: &Call, answer: Answer) -> Answer {
+        let id = call.claim.as_ref().filter(|_| call.chosen);
+        let Some(id) = id else { return answer };
+        let look = Look {
+            key: ClaimKey {
+                service: Arc::clone(&call.service.name),
+                claim: Arc::clone(id),
+            },
+            digest: call.digest(),
+        };
+        let give_up = call.deadline.max(clock::now() + RECORD_TIME);
+        match self.parts.claims.look(&look, give_up).await {
+            Some(Applied::Ended { outcome }) => Answer::replay(outcome),
+            Some(Applied::Pending { attempt }) if attempt != call.id => Answer::may_have_run(
+                StatusCode::GATEWAY_TIMEOUT,
+                "the claim was sent before, and its outcome is not known",
+            ),
+            Some(_) => answer,
+            None => answer.unsure("not sent, but an earlier sending may have run"),
+        }
+    }
+
     /// Brings the record of a claim in line with its answer.
     pub(super) async fn settle(&self, call: &Call, claim: &Claim, answer: Answer) -> Answer {
         match (answer.verdict, &answer.owner) {
--- a/src/entry/proxy/headers.rs
+++ b/src/entry/proxy/headers.rs
@@ -57,6 +57,12 @@
     VERDICT, SERVER, FENCE, ZONE, REQUEST, CLAIM, REPLAY, REFUSED,
 ];
 
+/// The header in which a caller names its claim.
+pub fn claim_header(headers: &HeaderMap) -> Option<HeaderName> {
+    let names = [CLAIM, IDEMPOTENCY_KEY];
+    names.into_iter().find(|name| headers.contains_key(name))
+}
+
 /// Takes out of a caller's request what must not reach a backend server.
 pub fn clean_request(headers: &mut HeaderMap) {
     remove_hop_by_hop(headers);
