--- a/examples/backend/main.rs
+++ b/examples/backend/main.rs
@@ -11,8 +11,6 @@
 mod record;
 mod refused;
 mod server;
-#[cfg(test)]
-mod tests;
 
 use std::process::ExitCode;
 use std::rc::Rc;
--- a/src/client/status.rs
+++ b/src/client/status.rs
@@ -131,7 +131,7 @@
             s.slots.to_string(),
             s.spans.to_string(),
             mark(s.checks, "yes"),
-            mark(s.draining, "draining"),
+            state(s),
         ]
     };
     let all = zones
@@ -144,6 +144,13 @@
     output::table(head, &rows)
 }
 
+fn state(server: &api::ServerStatus) -> String {
+    match () {
+        () if !server.alive => "lost".to_owned(),
+        () => mark(server.draining, "draining"),
+    }
+}
+
 fn mark(is_set: bool, text: &str) -> String {
     if is_set {
         text.to_owned()
--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -288,6 +288,9 @@
     pub slots: u32,
     /// Spans that it holds.
     pub spans: u64,
+    /// Whether its lease runs.
+    #[serde(default)]
+    pub alive: bool,
     /// Whether it is leaving.
     pub draining: bool,
 }
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::command::Command;
+use super::command::{Applied, Command};
 use super::daemon::Control;
 use super::propose;
 use crate::claim;
 use crate::clock;
+use crate::delegate;
 use crate::delegate::appoint::Described;
 use crate::timing;
 
@@ -66,6 +67,14 @@
 fn put(control: &Rc<Control>, command: Command) {
     let control = Rc::clone(control);
     monoio::spawn(async move {
-        let _ = propose::propose(&control.log, &command).await;
+        let applied = propose::propose(&control.log, &command).await;
+        if let (Ok(Applied::Delegate(delegate::store::Applied::Done)), Command::Delegate(change)) =
+            (applied, &command)
+        {
+            let event = delegate::events::of(change, &control.state.delegations.borrow());
+            if let Some(event) = event {
+                control.journal.record(event);
+            }
+        }
     });
 }
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -210,9 +210,6 @@
         );
         return failure(StatusCode::BAD_REQUEST, &reason, false);
     }
-    if request.dry_run {
-        return dry_run(control, service, request.base).await;
-    }
     let change = store::Change {
         service: service.into(),
         base: request.base,
@@ -221,7 +218,11 @@
         document,
         at_ms: clock::wall_ms(),
     };
-    put(control, change).await
+    if request.dry_run {
+        preview(control, &change).await
+    } else {
+        put(control, change).await
+    }
 }
 
 fn unfit(request: &api::ApplyRequest) -> Option<&'static str> {
@@ -233,78 +234,68 @@
     }
 }
 
-async fn dry_run(control: &Control, service: &str, base: ids::Version) -> Reply {
+/// What would become of a change now.
+async fn preview(control: &Control, change: &store::Change) -> Reply {
     if let Err(reply) = lead(control).await {
         return reply;
     }
-    let documents = control.state.documents.borrow();
-    let current = documents.current(service);
-    let version = current.map_or(0, |entry| entry.version);
-    if version != base {
-        let none: Arc<str> = "".into();
-        return conflict(
-            control,
-            base,
-            store::Applied::Conflict {
-                version,
-                change: current.map_or_else(|| Arc::clone(&none), |e| Arc::clone(&e.change)),
-                author: current.map_or(none, |e| Arc::clone(&e.author)),
-                current: current.map(|e| Box::new(e.document.clone())),
-            },
-            service,
-        );
-    }
-    let accepted = api::Accepted {
-        version: version + 1,
-        index: 0,
-        repeated: false,
-        dry_run: true,
-    };
-    json::response(StatusCode::OK, &accepted)
+    let applied = control.state.documents.borrow().preview(change);
+    tell(control, change, applied, true)
 }
 
 async fn put(control: &Control, change: store::Change) -> Reply {
-    let (service, base) = (Arc::clone(&change.service), change.base);
-    let id = Arc::clone(&change.change);
-    let command = Command::Document(change);
+    let command = Command::Document(change.clone());
     let applied = match propose::propose(&control.log, &command).await {
         Ok(Applied::Document(applied)) => applied,
         Ok(_) => {
-            return failure(
-                StatusCode::INTERNAL_SERVER_ERROR,
-                "unreadable command",
-                false,
-            );
+            let reason = "the command could not be read";
+            return failure(StatusCode::INTERNAL_SERVER_ERROR, reason, false);
         }
         Err(error) => return refusal(control, &error).await,
     };
-    let event = |kind| Event::new(kind).service(&service).change(&id);
-    match applied {
-        store::Applied::Accepted { version, index } => {
-            let detail = format!("version {version}");
-            control
-                .journal
-                .record(event("document.accepted").detail(&detail));
-            accepted(version, index, false)
-        }
-        store::Applied::Same { version, index } => {
-            control.journal.record(event("document.repeated"));
-            accepted(version, index, true)
+    control.journal.record(event(&change, &applied));
+    tell(control, &change, applied, false)
+}
+
+fn event(change: &store::Change, applied: &store::Applied) -> Event {
+    let (kind, detail) = match applied {
+        store::Applied::Accepted { version, .. } => {
+            ("document.accepted", format!("version {version}"))
         }
-        store::Applied::Reused => json::response(StatusCode::CONFLICT, &api::Reused { reused: id }),
-        conflicting @ store::Applied::Conflict { .. } => {
-            control.journal.record(event("document.conflict"));
-            conflict(control, base, conflicting, &service)
+        store::Applied::Same { version, .. } => ("document.repeated", format!("version {version}")),
+        store::Applied::Reused => ("document.reused", "id of another change".into()),
+        store::Applied::Conflict { version, .. } => {
+            let detail = format!("made from {}, now {version}", change.base);
+            ("document.conflict", detail)
         }
-    }
+    };
+    let event = Event::new(kind).service(&change.service);
+    event.change(&change.change).detail(&detail)
 }
 
-fn accepted(version: ids::Version, index: ids::LogIndex, repeated: bool) -> Reply {
+/// The answer to a change, or to the question what would become of it.
+fn tell(
+    control: &Control,
+    change: &store::Change,
+    applied: store::Applied,
+    dry_run: bool,
+) -> Reply {
+    let (version, index, repeated) = match applied {
+        store::Applied::Accepted { version, index } => (version, index, false),
+        store::Applied::Same { version, index } => (version, index, true),
+        store::Applied::Reused => {
+            let reused = Arc::clone(&change.change);
+            return json::response(StatusCode::CONFLICT, &api::Reused { reused });
+        }
+        conflicting @ store::Applied::Conflict { .. } => {
+            return conflict(control, change.base, conflicting, &change.service);
+        }
+    };
     let accepted = api::Accepted {
         version,
         index,
         repeated,
-        dry_run: false,
+        dry_run,
     };
     json::response(StatusCode::OK, &accepted)
 }
@@ -346,6 +337,11 @@
         return unknown(service);
     }
     let on = parameter(query, "off").is_none();
+    let spans = status::spans_of(control, service, server).await;
+    if on && spans.is_none() {
+        let reason = format!("no carrier knows a backend server {server} of {service}");
+        return failure(StatusCode::NOT_FOUND, &reason, false);
+    }
     let drain = delegate::messages::Drain {
         service: service.into(),
         server: server.into(),
@@ -363,7 +359,7 @@
     let draining = api::Draining {
         service: service.into(),
         server: server.into(),
-        spans: status::spans_of(control, service, server).await,
+        spans: spans.unwrap_or(0),
     };
     json::response(StatusCode::OK, &draining)
 }
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Turns away from the control VM that is taken for the leader.
+    pub fn turn_away(&self) {
+        self.skip(self.inner.leader.get());
+    }
+
     /// Turns to the next VM, unless another call already turned away.
     fn skip(&self, from: usize) {
         if self.inner.leader.get() == from {
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -48,13 +48,15 @@
     }
 }
 
-/// Spans that a backend server holds, as its carrier says.
-pub async fn spans_of(control: &Control, service: &str, server: &str) -> u64 {
+/// Spans that a backend server holds, as its carrier says; `None` if no carrier knows it.
+pub async fn spans_of(control: &Control, service: &str, server: &str) -> Option<u64> {
     let overviews = overviews(control).await;
     let of_service = overviews.iter().filter(|o| &*o.service == service);
     let lines = of_service.flat_map(|o| &o.servers);
     let spans = lines.filter(|line| &*line.server == server);
-    spans.map(|line| line.spans as u64).sum()
+    spans
+        .map(|line| line.spans as u64)
+        .reduce(u64::saturating_add)
 }
 
 /// The metrics of this VM as Prometheus text.
@@ -230,6 +232,7 @@
         checks: line.checks,
         slots: line.slots,
         spans: line.spans as u64,
+        alive: line.alive,
         draining: line.draining,
     }
 }
--- a/src/delegate/mod.rs
+++ b/src/delegate/mod.rs
@@ -20,7 +20,6 @@
 pub mod events;
 mod held;
 mod known;
-pub mod leader;
 pub mod messages;
 pub mod renew;
 pub mod right;
--- a/src/delegate/renew.rs
+++ b/src/delegate/renew.rs
@@ -5,13 +5,12 @@
 
 use std::cell::Cell;
 use std::fmt;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::leader::Leader;
 use super::messages::{DutyReport, RenewAnswer, RenewRequest};
 use crate::clock;
+use crate::control::peers::Peers;
 use crate::ids;
 use crate::keys;
 use crate::timing;
@@ -37,7 +36,7 @@
 /// Sends renewals for all duties of a VM.
 pub struct Renewals {
     /// The control VMs.
-    pub leader: Rc<Leader>,
+    pub control: Peers,
     /// This VM.
     pub vm: ids::VmName,
     /// What there is to report.
@@ -80,7 +79,7 @@
             duties: reports.duties.clone(),
             acting: reports.acting.clone(),
         };
-        let answer = self.leader.call(METHOD, &request, ANSWER_LIMIT).await;
+        let answer = self.control.call(METHOD, &request, ANSWER_LIMIT).await;
         if let Ok(answer) = answer {
             (self.answered)(sent, reports, &answer);
         }
--- a/src/delegate/tests/desk.rs
+++ b/src/delegate/tests/desk.rs
@@ -7,8 +7,8 @@
 
 use super::fixture::{delegated, entry, ms};
 use crate::clock;
+use crate::control::peers::{ControlVm, Peers};
 use crate::delegate::desk::{Desk, Log};
-use crate::delegate::leader::Leader;
 use crate::delegate::messages::{WatchAnswer, WatchRequest};
 use crate::delegate::watch::{self, Watch};
 use crate::delegate::{Office, View};
@@ -109,11 +109,14 @@
     runtime::run(async {
         let (first, second) = (node(), node());
         first.leads.set(false);
-        let peers = vec![listen(&first), listen(&second)];
+        let vms = [&first, &second].map(|node| ControlVm {
+            vm: "control".into(),
+            address: listen(node).address(),
+        });
         let view = Rc::new(View::default());
         let watch = Watch {
             view: Rc::clone(&view),
-            leader: Rc::new(Leader::new(peers)),
+            control: Peers::new(&vms, &Journal::new("a1".into())),
             entry: Box::new(|| entry("a1", "a")),
             heard: Box::new(Vec::new),
         };
--- a/src/delegate/tests/live.rs
+++ b/src/delegate/tests/live.rs
@@ -7,10 +7,10 @@
 
 use super::fixture::{KIOSK, entry, kiosk, ms};
 use crate::clock;
+use crate::control::peers::{ControlVm, Peers};
 use crate::delegate::bar::BarDesk;
 use crate::delegate::carrier::{Carrier, ask_voters};
 use crate::delegate::desk::{Desk, Log};
-use crate::delegate::leader::Leader;
 use crate::delegate::messages::{DocumentNews, Heard};
 use crate::delegate::renew::Renewals;
 use crate::delegate::store::Store;
@@ -18,7 +18,7 @@
 use crate::delegate::{Office, View};
 use crate::grant::{Duties, Inherited};
 use crate::notify::Notify;
-use crate::rpc::{Peer, serve, server};
+use crate::rpc::{serve, server};
 use crate::runtime;
 use crate::timeline::Journal;
 
@@ -97,10 +97,14 @@
         let answer = desk.answer(&method, &body);
         async move { answer.unwrap_or_else(|| Err(server::unknown(&method))) }
     }));
-    let leader = Rc::new(Leader::new(vec![Peer::new(control, journal.clone())]));
+    let vm = ControlVm {
+        vm: "control".into(),
+        address: control,
+    };
+    let control = Peers::new(&[vm], &journal);
     let watch = Watch {
         view,
-        leader: Rc::clone(&leader),
+        control: control.clone(),
         entry: Box::new(move || me.clone()),
         heard: Box::new(|| {
             vec![Heard {
@@ -112,7 +116,7 @@
     };
     let (reporting, answering) = (Rc::clone(&carrier), Rc::clone(&carrier));
     let renewals = Renewals {
-        leader,
+        control,
         vm: name.into(),
         reports: Box::new(move |now| reporting.reports(now)),
         answered: Box::new(move |sent, _, answer| answering.answered(sent, answer)),
--- a/src/delegate/watch.rs
+++ b/src/delegate/watch.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::leader::Leader;
 use super::messages::{EntryVm, Heard, WatchAnswer, WatchRequest};
 use super::view::View;
+use crate::control::peers::Peers;
 use crate::timing;
 
 /// Method of the question.
@@ -23,7 +23,7 @@
     /// The view.
     pub view: Rc<View>,
     /// The control VMs.
-    pub leader: Rc<Leader>,
+    pub control: Peers,
     /// This VM as it stands.
     pub entry: Box<dyn Fn() -> EntryVm>,
     /// Services announced to this VM lately.
@@ -33,15 +33,8 @@
 impl Watch {
     /// Asks for news, for ever.
     pub async fn run(self) {
-        let mut failed = 0;
         loop {
-            if self.ask().await {
-                failed = 0;
-                continue;
-            }
-            failed += 1;
-            if failed >= self.leader.count() {
-                failed = 0;
+            if !self.ask().await {
                 monoio::time::sleep(BACKOFF).await;
             }
         }
@@ -56,14 +49,13 @@
             heard: (self.heard)(),
         };
         let timeout = timing::POLL_HOLD + ANSWER_LIMIT;
-        let asked = self.leader.current();
-        let answer: Result<WatchAnswer, _> = self.leader.call(METHOD, &request, timeout).await;
+        let answer: Result<WatchAnswer, _> = self.control.call(METHOD, &request, timeout).await;
         let Ok(answer) = answer else {
             return false;
         };
         let taken = self.view.take_in(answer);
         if !taken {
-            self.leader.pass(asked);
+            self.control.turn_away();
         }
         taken
     }
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -13,6 +13,9 @@
 use crate::claim::Desk;
 use crate::web;
 
+/// Largest body that any document may allow, in bytes.
+const BODY_BYTES: usize = 64 << 20;
+
 /// Time between looks for gates of backend servers that are gone.
 const FORGET_PAUSE: Duration = Duration::from_secs(10);
 
@@ -24,7 +27,11 @@
         let proxy = proxy.clone();
         async move { proxy.handle(request).await }
     };
-    web::serve(listener, web::Limits::default(), stop, handler).await;
+    let limits = web::Limits {
+        body_bytes: BODY_BYTES,
+        ..web::Limits::default()
+    };
+    web::serve(listener, limits, stop, handler).await;
 }
 
 fn parts(entry: &Rc<Entry>) -> Parts {
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -20,7 +20,6 @@
 use crate::control::status;
 use crate::delegate::bar::{self, BarDesk};
 use crate::delegate::carrier::{self, Carrier};
-use crate::delegate::leader::Leader;
 use crate::delegate::messages::EntryVm;
 use crate::delegate::renew::Renewals;
 use crate::delegate::view::View;
@@ -241,20 +240,17 @@
 
 /// Starts the tasks that follow the control VMs and the carriers.
 fn follow(entry: &Rc<Entry>) {
-    let peers = entry.settings.control.iter();
-    let peers = peers.map(|m| rpc::Peer::new(m.peer, entry.journal.clone()));
-    let leader = Rc::new(Leader::new(peers.collect()));
     let (described, heard) = (Rc::clone(entry), Rc::clone(entry));
     let watch = Watch {
         view: Rc::clone(&entry.view),
-        leader: Rc::clone(&leader),
+        control: entry.control.clone(),
         entry: Box::new(move || described.describe()),
         heard: Box::new(move || heard.desk.heard(clock::now())),
     };
     monoio::spawn(watch.run());
     let (reporting, answered) = (Rc::clone(&entry.carrier), Rc::clone(&entry.carrier));
     let renewals = Renewals {
-        leader,
+        control: entry.control.clone(),
         vm: Arc::clone(&entry.settings.vm),
         reports: Box::new(move |now| reporting.reports(now)),
         answered: Box::new(move |sent, _, answer| answered.answered(sent, answer)),
--- a/examples/backend/tests.rs
+++ b/tests/backend_lease.rs
@@ -1,4 +1,10 @@
-//! The rules of the lease.
+//! The rules of the lease, as the backend server for trials keeps them.
+
+#[path = "../examples/backend/lease.rs"]
+mod lease;
+#[path = "../examples/backend/refused.rs"]
+#[allow(dead_code, reason = "answers to refused requests are not tested here")]
+mod refused;
 
 use std::time::{Duration, Instant};
 
--- a/tests/client_session.rs
+++ b/tests/client_session.rs
@@ -258,6 +258,7 @@
         checks: !draining,
         slots: 6,
         spans: 64,
+        alive: true,
         draining,
     };
     let zone = api::ZoneStatus {
