Send the quickstart's requests by a caller of its own

Cause: the quickstart needed curl, and a machine with only cargo has none. Change: examples/ask sends one request and prints owner, fence and verdict. Conclusion: cargo and a shell are enough.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -63,15 +63,8 @@
 done
 [ "${applied:-false}" = true ] || { echo "the document was not accepted; see $run" >&2; exit 1; }
 
-ask() { # entry-port method path
-    curl -sS --max-time 5 -D - -o "$run/body" -X "$2" -H 'agateyoke-service: kiosk-core' \
-        ${4:+-H "agateyoke-claim: $4"} "http://127.0.0.1:$1$3" >"$run/head" || return 1
-    local status
-    status=$(awk 'NR==1{print $2}' "$run/head")
-    printf '%-4s %-28s by entry :%s -> %s' "$2" "$3" "$1" "$status"
-    tr -d '\r' <"$run/head" | awk -F': ' 'tolower($1) ~ /^agateyoke-(server|fence|verdict|replay)$/ {printf "  %s=%s", substr(tolower($1), 11), $2}'
-    echo
-    [ "$status" -lt 400 ]
+ask() { # entry-port method path [claim]
+    "$bin/examples/ask" --entry "127.0.0.1:$1" --service kiosk-core ${4:+--claim "$4"} "$2" "$3"
 }
 
 echo "== waiting until every key has an owner"
@@ -99,7 +92,7 @@
   operators: control VMs 127.0.0.1:7111 7112 7113, entry VMs 127.0.0.1:7231 to 7234
 Try:
   export AGATEYOKE_CONTROL=$control
-  curl -i -H 'agateyoke-service: kiosk-core' http://127.0.0.1:7202/lockers/L-9
+  target/debug/examples/ask --entry 127.0.0.1:7202 --service kiosk-core GET /lockers/L-9
   kill -9 \$(cat run/kiosk-core-galway-1.pid)
   target/debug/agateyoke status
   target/debug/agateyoke timeline
