--- a/src/control/answer.rs
+++ b/src/control/answer.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::delegate::messages::WatchRequest;
 use crate::delegate::watch;
+use crate::log;
 use crate::rpc::{Answer, Fault, error, server};
 
 /// Answers one call.
@@ -75,7 +76,7 @@
         vm: Arc::clone(&control.settings.vm),
         zone: Arc::clone(&control.settings.zone),
         operator: control.settings.operator,
-        role: format!("{:?}", status.role).to_lowercase().into(),
+        role: role(&status),
         term: status.term,
         commit: status.commit,
         disk: status.disk,
@@ -84,6 +85,15 @@
     }
 }
 
+/// Its part; a disk without a vote learns, whatever it takes itself for.
+fn role(status: &log::Status) -> Arc<str> {
+    let votes = |m: &log::MemberStatus| m.disk == status.disk && m.voter;
+    match status.role {
+        log::Role::Follower if !status.members.iter().any(votes) => "learner".into(),
+        role => format!("{role:?}").to_lowercase().into(),
+    }
+}
+
 fn folder_bytes(folder: &std::path::Path) -> Option<u64> {
     let files = std::fs::read_dir(folder).ok()?;
     let sizes = files
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -35,6 +35,12 @@
 /// Wait after a failed accept, such as with no file descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time without a new connection after which a server that stops accepts no more.
+const ACCEPT_QUIET: Duration = Duration::from_millis(20);
+
+/// Longest time that a server which stops goes on accepting.
+const ACCEPT_LAST: Duration = Duration::from_secs(1);
+
 /// Longest time to read and drop what a refused caller still sends.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -46,9 +52,10 @@
 
 /// Answers the connections of `listener` until `stop`.
 ///
-/// `handler` gets each request with its whole body. It returns once the
-/// server was asked to stop; open connections finish in their own tasks, see
-/// [`Stop::finished`].
+/// `handler` gets each request with its whole body. It returns soon after the
+/// server was asked to stop, once every connection that the operating system
+/// had taken is accepted, as closing the listener would reset these; open
+/// connections finish in their own tasks, see [`Stop::finished`].
 pub async fn serve<H, F>(listener: TcpListener, limits: Limits, stop: Stop, handler: H)
 where
     H: Fn(http::Request<Bytes>) -> F + 'static,
@@ -58,10 +65,18 @@
     let handler = Rc::new(handler);
     let refusing = Rc::new(Cell::new(0));
     let mut member = stop.join();
+    let mut last = None;
     loop {
-        let accepted = race::race(pin!(listener.accept()), pin!(member.stopped())).await;
+        let accepted = match last {
+            None => race::race(pin!(listener.accept()), pin!(member.stopped())).await,
+            Some(last) if Instant::now() >= last => return,
+            Some(_) => match time::timeout(ACCEPT_QUIET, listener.accept()).await {
+                Ok(accepted) => Either::First(accepted),
+                Err(_) => return,
+            },
+        };
         match accepted {
-            Either::Second(()) => return,
+            Either::Second(()) => last = Some(Instant::now() + ACCEPT_LAST),
             Either::First(Err(_)) => time::sleep(ACCEPT_PAUSE).await,
             Either::First(Ok((stream, _))) if stop.open() > limits.connections => {
                 refuse(stream, &limits, &refusing);
--- a/src/web/tests/server.rs
+++ b/src/web/tests/server.rs
@@ -132,3 +132,25 @@
         assert!(stop.finished(LONG).await);
     });
 }
+
+#[test]
+fn connections_that_wait_to_be_accepted_at_the_stop_are_answered() {
+    runtime::run(async {
+        let (address, stop) = echo(Limits::default());
+        assert_serves(address).await;
+        let connect = |_| {
+            let mut stream = std::net::TcpStream::connect(address).unwrap();
+            let request = b"GET /queued HTTP/1.1\r\nhost: a\r\n\r\n";
+            std::io::Write::write_all(&mut stream, request).unwrap();
+            TcpStream::from_std(stream).unwrap()
+        };
+        let queued: Vec<_> = (0..8).map(connect).collect();
+        stop.stop();
+        for mut stream in queued {
+            let answer = read_to_end(&mut stream).await;
+            assert!(answer.ends_with("GET /queued "), "{answer:?}");
+        }
+        assert!(stop.finished(LONG).await);
+        assert!(TcpStream::connect(address).await.is_err());
+    });
+}
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -18,6 +18,7 @@
     generation: AtomicU64,
     silent_below: AtomicU64,
     delay_ms: AtomicU64,
+    answers_lost: AtomicBool,
     barred: Mutex<Vec<u32>>,
     open: Mutex<Vec<(u16, TcpStream)>>,
 }
@@ -72,6 +73,7 @@
     /// Lets new connections through again, and ends silence.
     pub fn heal(&self) {
         self.state.refuse.store(false, Ordering::SeqCst);
+        self.state.answers_lost.store(false, Ordering::SeqCst);
         self.state.barred.lock().unwrap().clear();
         self.state.silent_below.store(0, Ordering::SeqCst);
     }
@@ -87,6 +89,11 @@
         self.state.silent_below.store(u64::MAX, Ordering::SeqCst);
     }
 
+    /// Bytes still go to the target, none come back: a cut of one direction.
+    pub fn lose_answers(&self) {
+        self.state.answers_lost.store(true, Ordering::SeqCst);
+    }
+
     /// Holds every chunk back for so long.
     pub fn delay(&self, by: Duration) {
         let ms = u64::try_from(by.as_millis()).unwrap();
@@ -112,12 +119,16 @@
         let stream = stream.try_clone().map(|s| (port, s));
         state.open.lock().unwrap().extend(stream);
     }
-    for (from, to) in [(near.try_clone(), far.try_clone()), (Ok(far), Ok(near))] {
+    let ways = [
+        (near.try_clone(), far.try_clone(), false),
+        (Ok(far), Ok(near), true),
+    ];
+    for (from, to, answers) in ways {
         let (Ok(from), Ok(to)) = (from, to) else {
             return;
         };
         let state = Arc::clone(state);
-        thread::spawn(move || pass(from, to, number, &state));
+        thread::spawn(move || pass(from, to, number, answers, &state));
     }
 }
 
@@ -139,8 +150,10 @@
         .any(|l| l.is_ok_and(|l| l.as_os_str() == &*socket))
 }
 
-fn pass(mut from: TcpStream, mut to: TcpStream, number: u64, state: &State) {
+/// A way that has lost bytes stays silent for good.
+fn pass(mut from: TcpStream, mut to: TcpStream, number: u64, answers: bool, state: &State) {
     let mut chunk = vec![0; CHUNK_BYTES];
+    let mut lost = false;
     while let Ok(count) = from.read(&mut chunk) {
         if count == 0 {
             break;
@@ -149,7 +162,9 @@
         if delay > 0 {
             thread::sleep(Duration::from_millis(delay));
         }
-        if number < state.silent_below.load(Ordering::SeqCst) {
+        lost |= number < state.silent_below.load(Ordering::SeqCst);
+        lost |= answers && state.answers_lost.load(Ordering::SeqCst);
+        if lost {
             continue;
         }
         let Some(bytes) = chunk.get(..count) else {
