Measure scenarios with real processes: server-kill, overload, throughput

Cause: there was no run that shows what callers see of a lost server, of overload and of the cost of the router.

The load generator sends at a rate, asks keys in turn and traces requests; the stand-in records refusals.

Ruled out: closed-loop probes (a key without an owner would hold up the probes of others), and figures from the router's metrics.

--- a/examples/backend/options.rs
+++ b/examples/backend/options.rs
@@ -37,6 +37,9 @@
     /// file that gets one JSON line for each request that ran
     #[argh(option)]
     pub(crate) record: Option<PathBuf>,
+    /// file that gets one JSON line for each request that was refused
+    #[argh(option)]
+    pub(crate) refusals: Option<PathBuf>,
     /// misbehaviour from the start, as JSON for `POST /_stand-in`
     #[argh(option)]
     pub(crate) fail_mode: Option<String>,
--- a/examples/backend/record.rs
+++ b/examples/backend/record.rs
@@ -29,7 +29,16 @@
     pub(crate) wall_ms: u64,
 }
 
-/// The file of runs.
+/// One request that was refused before work.
+#[derive(Debug, Serialize)]
+pub(crate) struct Refusal {
+    /// Id of the request.
+    pub(crate) request: Option<Arc<str>>,
+    /// Why.
+    pub(crate) reason: &'static str,
+}
+
+/// A file of runs or refusals.
 #[derive(Debug)]
 pub(crate) struct Record(Option<File>);
 
@@ -40,12 +49,15 @@
         path.map(open).transpose().map(Self)
     }
 
-    /// Appends a run by one write.
-    pub(crate) fn append(&mut self, run: &Run) -> io::Result<()> {
+    /// Appends a run or a refusal by one write.
+    pub(crate) fn append<T>(&mut self, event: &T) -> io::Result<()>
+    where
+        T: Serialize,
+    {
         let Some(file) = self.0.as_mut() else {
             return Ok(());
         };
-        let mut line = serde_json::to_vec(run)?;
+        let mut line = serde_json::to_vec(event)?;
         line.push(b'\n');
         file.write_all(&line)
     }
--- a/examples/backend/refused.rs
+++ b/examples/backend/refused.rs
@@ -22,14 +22,23 @@
 }
 
 impl Refused {
+    /// The reason in one word.
+    pub(crate) const fn reason(self) -> &'static str {
+        match self {
+            Self::Fence => "fence",
+            Self::Lease => "lease",
+            Self::Shed => "shed",
+            Self::Drain => "drain",
+            Self::Deadline => "deadline",
+        }
+    }
+
     /// The answer that says so.
     pub(crate) fn response(self) -> http::Response<Bytes> {
-        let (status, reason) = match self {
-            Self::Fence => (StatusCode::CONFLICT, "fence"),
-            Self::Lease => (StatusCode::CONFLICT, "lease"),
-            Self::Shed => (StatusCode::SERVICE_UNAVAILABLE, "shed"),
-            Self::Drain => (StatusCode::SERVICE_UNAVAILABLE, "drain"),
-            Self::Deadline => (StatusCode::SERVICE_UNAVAILABLE, "deadline"),
+        let reason = self.reason();
+        let status = match self {
+            Self::Fence | Self::Lease => StatusCode::CONFLICT,
+            Self::Shed | Self::Drain | Self::Deadline => StatusCode::SERVICE_UNAVAILABLE,
         };
         let mut response = http::Response::new(Bytes::from_static(reason.as_bytes()));
         *response.status_mut() = status;
--- a/examples/backend/server.rs
+++ b/examples/backend/server.rs
@@ -20,7 +20,7 @@
 use crate::lease::Lease;
 use crate::mischief::{self, Mischief};
 use crate::options::Options;
-use crate::record::{Record, Run};
+use crate::record::{Record, Refusal, Run};
 use crate::refused::Refused;
 
 /// Longest time that a request without a deadline waits or goes unanswered.
@@ -44,6 +44,7 @@
     waiting: Cell<u32>,
     keys: RefCell<HashMap<keys::KeyHash, State>>,
     record: RefCell<Record>,
+    refusals: RefCell<Record>,
 }
 
 /// State of one key.
@@ -95,6 +96,7 @@
             waiting: Cell::default(),
             keys: RefCell::default(),
             record: RefCell::new(Record::open(options.record.as_deref())?),
+            refusals: RefCell::new(Record::open(options.refusals.as_deref())?),
             options,
         })
     }
@@ -123,7 +125,15 @@
                 json::response(StatusCode::INTERNAL_SERVER_ERROR, &"failed")
             }
             Ok(ran) => json::response(StatusCode::OK, &ran),
-            Err(refused) => refused.response(),
+            Err(refused) => {
+                let refusal = Refusal {
+                    request: call.request,
+                    reason: refused.reason(),
+                };
+                // A lost line only makes a count too low; the answer matters more.
+                let _ = self.refusals.borrow_mut().append(&refusal);
+                refused.response()
+            }
         }
     }
 
--- a/examples/load/keys.rs
+++ b/examples/load/keys.rs
@@ -27,7 +27,13 @@
         }
     }
 
-    /// The next key.
+    /// The key at a place in the turn.
+    pub(crate) fn turn(&self, place: u64) -> Arc<str> {
+        let count = self.sums.len().max(1) as u64;
+        format!("key-{}", place % count).into()
+    }
+
+    /// The next key at random.
     pub(crate) fn draw(&self, random: &mut fastrand::Rng) -> Arc<str> {
         let whole = self.sums.last().copied().unwrap_or_default();
         let at = random.f64() * whole;
--- a/examples/load/main.rs
+++ b/examples/load/main.rs
@@ -1,6 +1,8 @@
 //! A load generator for trials and tests over loopback.
 //!
-//! Each connection has one request under way at a time. At the end one JSON
+//! Each connection has one request under way at a time. With a rate, requests
+//! have fixed times that do not depend on answers; a connection that is free
+//! takes the next one. At the end one JSON
 //! line says what the callers were told, how long it took, and the longest
 //! time in which no request was done.
 
@@ -45,7 +47,11 @@
     let seconds = Duration::from_secs(options.seconds.min(SECONDS_LIMIT));
     let shared = Rc::new(Shared {
         keys: Keys::new(options.keys, options.zipf),
-        tally: RefCell::new(Tally::new(options.outcomes.as_deref())?),
+        tally: RefCell::new(Tally::new(
+            options.outcomes.as_deref(),
+            options.trace.as_deref(),
+        )?),
+        start: Instant::now(),
         end: Instant::now() + seconds,
         sent: Cell::new(0),
         options,
@@ -63,6 +69,7 @@
     for caller in callers {
         caller.await?;
     }
+    shared.tally.borrow_mut().flush()?;
     let summary = shared.tally.borrow().summary();
     serde_json::to_string(&summary).map_err(io::Error::other)
 }
--- a/examples/load/options.rs
+++ b/examples/load/options.rs
@@ -30,6 +30,15 @@
     /// requests in all, 0 for no such limit
     #[argh(option, default = "0")]
     pub(crate) count: u64,
+    /// requests a second over all connections, 0 for as many as are answered
+    #[argh(option, default = "0")]
+    pub(crate) rate: u32,
+    /// asks for the keys one after the other, not at random
+    #[argh(switch)]
+    pub(crate) in_turn: bool,
+    /// file that gets one JSON line for each request that was sent
+    #[argh(option)]
+    pub(crate) trace: Option<PathBuf>,
     /// claims among a hundred requests
     #[argh(option, default = "0")]
     pub(crate) claims: u8,
--- a/examples/load/tally.rs
+++ b/examples/load/tally.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, BufWriter, Write};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -28,6 +28,27 @@
     pub(crate) sent: u32,
 }
 
+/// One request that was sent.
+#[derive(Debug, Serialize)]
+pub(crate) struct Trace<'a> {
+    /// Wall time of sending, in milliseconds.
+    pub(crate) sent_ms: u64,
+    /// Wall time of the answer or the failure, in milliseconds.
+    pub(crate) done_ms: u64,
+    /// Time from its due time to that, in microseconds.
+    pub(crate) took_us: u64,
+    /// Key.
+    pub(crate) key: &'a str,
+    /// Id of the claim, of a claim.
+    pub(crate) claim: Option<&'a str>,
+    /// Id that the entry VM gave the request.
+    pub(crate) request: Option<Arc<str>>,
+    /// Status, 0 without an answer.
+    pub(crate) status: u16,
+    /// Verdict; `none` without an answer.
+    pub(crate) verdict: Arc<str>,
+}
+
 /// Counts over all connections.
 #[derive(Debug)]
 pub(crate) struct Tally {
@@ -39,6 +60,7 @@
     last_done: Instant,
     longest_gap: Duration,
     outcomes: Option<File>,
+    traces: Option<BufWriter<File>>,
 }
 
 /// The line that is printed.
@@ -56,7 +78,7 @@
 
 impl Tally {
     /// An empty tally.
-    pub(crate) fn new(outcomes: Option<&Path>) -> io::Result<Self> {
+    pub(crate) fn new(outcomes: Option<&Path>, traces: Option<&Path>) -> io::Result<Self> {
         let open = |path| OpenOptions::new().create(true).append(true).open(path);
         let latency = Histogram::new_with_max(LONGEST_US, 3).map_err(io::Error::other)?;
         let now = Instant::now();
@@ -69,6 +91,7 @@
             last_done: now,
             longest_gap: Duration::ZERO,
             outcomes: outcomes.map(open).transpose()?,
+            traces: traces.map(open).transpose()?.map(BufWriter::new),
         })
     }
 
@@ -103,6 +126,20 @@
         file.write_all(&line)
     }
 
+    /// Records a request that was sent.
+    pub(crate) fn trace(&mut self, trace: &Trace<'_>) -> io::Result<()> {
+        let Some(file) = self.traces.as_mut() else {
+            return Ok(());
+        };
+        serde_json::to_writer(&mut *file, trace)?;
+        file.write_all(b"\n")
+    }
+
+    /// Writes out what is still buffered.
+    pub(crate) fn flush(&mut self) -> io::Result<()> {
+        self.traces.as_mut().map_or(Ok(()), Write::flush)
+    }
+
     /// The summary of all that was counted.
     pub(crate) fn summary(&self) -> Summary {
         let took = self.started.elapsed().as_secs_f64();
