--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -165,57 +165,65 @@
     assert!(table.take_loads("s", "galway").is_empty());
 }
 
-/// A carrier that answers some questions and none of the others.
+/// A carrier that may answer no question, or answer without a map.
 #[derive(Default)]
 struct FakeCarrier {
     silent: Cell<bool>,
+    mapless: Cell<bool>,
     number: Cell<u64>,
     votes: RefCell<Vec<(bool, u64)>>,
 }
 
 async fn fake_pull(carrier: Rc<FakeCarrier>, body: Box<RawValue>) -> server::Answer {
     let request: PullRequest = server::params(&body)?;
-    carrier
-        .votes
-        .borrow_mut()
-        .push((request.votes, request.answered));
+    let vote = (request.votes, request.answered);
+    carrier.votes.borrow_mut().push(vote);
     if carrier.silent.get() {
         std::future::pending::<()>().await;
     }
     monoio::time::sleep(Duration::from_millis(5)).await;
     carrier.number.set(carrier.number.get() + 1);
-    let mut answer = full(1, &[]);
-    answer.number = carrier.number.get();
-    server::result(&answer)
+    let map = if carrier.mapless.get() {
+        PullAnswer::default()
+    } else {
+        full(1, &[])
+    };
+    server::result(&PullAnswer {
+        number: carrier.number.get(),
+        ..map
+    })
+}
+
+/// Asks a fake carrier for routes into `table`, as a voter.
+fn pull_from(carrier: &Rc<FakeCarrier>, table: &Table) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let fake = Rc::clone(carrier);
+    let journal = Journal::new("e".into());
+    monoio::spawn(rpc::serve(listener, journal.clone(), move |_, body| {
+        fake_pull(Rc::clone(&fake), body)
+    }));
+    let target = pull::Target {
+        epoch: 1,
+        peer: rpc::Peer::new(address, journal.clone()),
+        votes: true,
+    };
+    let sources = pull::Sources {
+        target: Box::new(move |_, _| Some(target.clone())),
+        voting: Box::new(|_, _, _, _| {}),
+    };
+    let puller = pull::Puller::new(table.clone(), journal, sources);
+    puller.ensure(&"s".into(), &"galway".into());
 }
 
 #[test]
 fn a_silent_carrier_gets_no_vote_until_it_answers_again() {
     runtime::run(async {
         let carrier = Rc::new(FakeCarrier::default());
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let fake = Rc::clone(&carrier);
-        let journal = Journal::new("e".into());
-        monoio::spawn(rpc::serve(listener, journal.clone(), move |_, body| {
-            fake_pull(Rc::clone(&fake), body)
-        }));
-        let target = pull::Target {
-            epoch: 1,
-            peer: rpc::Peer::new(address, journal.clone()),
-            votes: true,
-        };
-        let sources = pull::Sources {
-            target: Box::new(move |_, _| Some(target.clone())),
-            voting: Box::new(|_, _, _, _| {}),
-        };
-        let puller = pull::Puller::new(table(), journal, sources);
-        puller.ensure(&"s".into(), &"galway".into());
+        pull_from(&carrier, &table());
         wait_for(|| carrier.votes.borrow().len() >= 3).await;
-        assert_eq!(
-            carrier.votes.borrow()[..3],
-            [(false, 0), (true, 1), (true, 2)]
-        );
+        let first = carrier.votes.borrow()[..3].to_vec();
+        assert_eq!(first, [(false, 0), (true, 1), (true, 2)]);
         carrier.silent.set(true);
         wait_for(|| carrier.votes.borrow().last() == Some(&(false, 0))).await;
         let before = carrier.votes.borrow().len();
@@ -227,6 +235,20 @@
     });
 }
 
+#[test]
+fn a_carrier_without_a_right_gets_votes_and_its_answers_prolong_nothing() {
+    runtime::run(async {
+        let carrier = Rc::new(FakeCarrier::default());
+        carrier.mapless.set(true);
+        let table = table();
+        pull_from(&carrier, &table);
+        wait_for(|| carrier.votes.borrow().len() >= 3).await;
+        let first = carrier.votes.borrow()[..3].to_vec();
+        assert_eq!(first, [(false, 0), (true, 1), (true, 2)]);
+        assert!(matches!(table.find("s", 5, clock::now()), Found::Waiting));
+    });
+}
+
 async fn wait_for<F>(done: F)
 where
     F: Fn() -> bool,
@@ -239,44 +261,3 @@
     }
     panic!("waited in vain");
 }
-
-#[test]
-fn a_carrier_without_a_right_gets_votes_and_its_answers_prolong_nothing() {
-    runtime::run(async {
-        let carrier = Rc::new(FakeCarrier::default());
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let fake = Rc::clone(&carrier);
-        let journal = Journal::new("e".into());
-        monoio::spawn(rpc::serve(listener, journal.clone(), move |_, body| {
-            let fake = Rc::clone(&fake);
-            async move {
-                let request: PullRequest = server::params(&body)?;
-                let vote = (request.votes, request.answered);
-                fake.votes.borrow_mut().push(vote);
-                fake.number.set(fake.number.get() + 1);
-                monoio::time::sleep(Duration::from_millis(5)).await;
-                server::result(&PullAnswer {
-                    number: fake.number.get(),
-                    ..PullAnswer::default()
-                })
-            }
-        }));
-        let target = pull::Target {
-            epoch: 1,
-            peer: rpc::Peer::new(address, journal.clone()),
-            votes: true,
-        };
-        let sources = pull::Sources {
-            target: Box::new(move |_, _| Some(target.clone())),
-            voting: Box::new(|_, _, _, _| {}),
-        };
-        let table = table();
-        let puller = pull::Puller::new(table.clone(), journal, sources);
-        puller.ensure(&"s".into(), &"galway".into());
-        wait_for(|| carrier.votes.borrow().len() >= 3).await;
-        let first = carrier.votes.borrow()[..3].to_vec();
-        assert_eq!(first, [(false, 0), (true, 1), (true, 2)]);
-        assert!(matches!(table.find("s", 5, clock::now()), Found::Waiting));
-    });
-}
