Tests: a process whose end is waited for in vain is ended with its fleet

Cause: a fleet took a process off its list before it waited for its end; when that wait failed, the process was left running. Ruled out: ending processes by name. Change: it stays on the list until it has ended.

--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -248,12 +248,13 @@
 
     /// Waits until a process has ended.
     pub fn ended(&mut self, name: &str) -> ExitStatus {
-        let mut child = self.running.remove(name).unwrap();
+        let child = self.running.get_mut(name).unwrap();
         let mut status = None;
         until(&format!("the end of {name}"), || {
             status = child.try_wait().unwrap();
             status.is_some()
         });
+        self.running.remove(name);
         status.unwrap()
     }
 
