--- a/src/entry/proxy/call.rs
+++ b/src/entry/proxy/call.rs
@@ -23,6 +23,9 @@
 /// Longest id of a claim, in bytes.
 const CLAIM_ID_BYTES: usize = 128;
 
+/// When a caller may come back to an entry VM that has just started.
+const START_RETRY: Duration = Duration::from_secs(1);
+
 /// A request on its way.
 #[derive(Debug)]
 pub struct Call {
@@ -50,6 +53,16 @@
 }
 
 impl Services {
+    /// The answer where no document has the service, as far as this VM knows.
+    fn unknown(&self) -> Answer {
+        if self.knows_all() {
+            Answer::not_run(StatusCode::NOT_FOUND, "unknown service")
+        } else {
+            let error = "this VM has just started and has not heard the control VMs yet";
+            Answer::come_back(START_RETRY, error)
+        }
+    }
+
     /// Reads a request.
     ///
     /// # Errors
@@ -64,8 +77,7 @@
         let (mut head, body) = request.into_parts();
         let service = service_name(&head).and_then(|name| self.get(&name));
         let Some(service) = service else {
-            let status = StatusCode::NOT_FOUND;
-            return Err(Answer::not_run(status, "unknown service").into());
+            return Err(self.unknown().into());
         };
         if body.len() as u64 > service.limits.body_bytes {
             let too_large = StatusCode::PAYLOAD_TOO_LARGE;
--- a/src/entry/proxy/service.rs
+++ b/src/entry/proxy/service.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Whether the control VMs were heard since this process started.
+    pub fn knows_all(&self) -> bool {
+        self.view.index() > 0
+    }
+
     /// The service of that name, by the document now in force.
     pub fn get(&self, name: &str) -> Option<Rc<Service>> {
         let versioned = self.view.document(name)?;
