Measure a key's dark time between successes, not by its slowest request

Arrivals count from the first traced request, as the warm-up raised amplification. Two tests for these.

Ruled out: dropping claims from the probe, which would hide a dark key.

--- a/examples/measure/tests.rs
+++ b/examples/measure/tests.rs
@@ -63,6 +63,22 @@
     assert_eq!(figures.churn_floor, Some(0.5));
 }
 
+#[test]
+fn key_is_served_while_one_of_its_requests_stays_open() {
+    let files = Files {
+        traces: vec![
+            trace("k", 1_000, 4_000, "may-have-run"),
+            trace("k", 1_100, 1_700, "done"),
+            trace("k", 2_000, 2_010, "done"),
+            trace("k", 3_900, 3_920, "done"),
+            trace("k", 4_100, 4_110, "done"),
+        ],
+        ..Files::default()
+    };
+    let figures = Figures::new(&options(Some("a")), &files);
+    assert_eq!(figures.unavailable_ms, Some(600));
+}
+
 #[test]
 fn claims_are_judged_by_what_servers_recorded() {
     let claim = |name: &str, verdict| Trace {
@@ -91,6 +107,17 @@
     assert_eq!(figures.high_rank_served, Some(0.5));
 }
 
+#[test]
+fn amplification_leaves_out_what_came_before_the_first_traced_request() {
+    let files = Files {
+        runs: vec![run("a", "k", 5), run("a", "k", 15), run("b", "k", 16)],
+        traces: vec![trace("k", 10, 20, "done")],
+        ..Files::default()
+    };
+    let figures = Figures::new(&options(None), &files);
+    assert!((figures.amplification - 2.0).abs() < f64::EPSILON);
+}
+
 #[test]
 fn imbalance_is_the_most_loaded_over_the_mean() {
     let files = Files {
