--- a/benches/slopes/control.rs
+++ b/benches/slopes/control.rs
@@ -153,7 +153,9 @@
         let took = begun.elapsed().as_secs_f64();
         let memory = heap::in_use() - before;
         let begun = Instant::now();
-        let image = state.snapshot();
+        let encode = state.snapshot();
+        let held = begun.elapsed().as_secs_f64();
+        let image = encode().unwrap_or_default();
         let snapshot = begun.elapsed().as_secs_f64();
         let begun = Instant::now();
         let restored = State::default().restore(&image).is_ok();
@@ -167,6 +169,7 @@
             "snapshot_us_per_record": each(snapshot),
             "restore_us_per_record": each(restore),
             "snapshot_ms": super::rounded(snapshot * 1e3),
+            "snapshot_in_daemon_ms": super::rounded(held * 1e3),
             "restored": restored,
         }));
     }
--- a/benches/slopes/wire.rs
+++ b/benches/slopes/wire.rs
@@ -193,7 +193,7 @@
 fn empty() -> log::Machine {
     log::Machine {
         apply: Box::new(|_, _| Vec::new()),
-        snapshot: Box::new(Vec::new),
+        snapshot: Box::new(|| Box::new(|| Ok(Vec::new()))),
         restore: Box::new(|_, _| Ok(())),
     }
 }
--- a/src/claim/store.rs
+++ b/src/claim/store.rs
@@ -1,8 +1,9 @@
 //! The claim records, a part of the replicated state.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
 use super::messages::{Applied, Change, ClaimKey, Look, Outcome};
@@ -18,11 +19,24 @@
     outcome: Option<Outcome>,
 }
 
+/// The records of one moment; taking it copies nothing.
+#[derive(Clone, Debug, Serialize)]
+#[serde(into = "Vec<(ClaimKey, Record)>")]
+pub struct Image {
+    records: OrdMap<ClaimKey, Record>,
+}
+
+impl From<Image> for Vec<(ClaimKey, Record)> {
+    fn from(image: Image) -> Self {
+        image.records.into_iter().collect()
+    }
+}
+
 /// All claim records.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(from = "Vec<(ClaimKey, Record)>", into = "Vec<(ClaimKey, Record)>")]
 pub struct Store {
-    records: BTreeMap<ClaimKey, Record>,
+    records: OrdMap<ClaimKey, Record>,
     by_time: BTreeSet<(u64, ClaimKey)>,
 }
 
@@ -75,6 +89,13 @@
         }
     }
 
+    /// The records as they are now.
+    pub fn image(&self) -> Image {
+        Image {
+            records: self.records.clone(),
+        }
+    }
+
     /// Number of records.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -27,8 +27,16 @@
     pub changed: Rc<Notify>,
 }
 
+/// The state as a snapshot takes hold of it.
+#[derive(Serialize)]
+struct Held {
+    documents: document::store::Store,
+    delegations: delegate::Store,
+    claims: claim::store::Image,
+}
+
 /// The state as a snapshot holds it.
-#[derive(Serialize, Deserialize)]
+#[derive(Deserialize)]
 struct Image {
     documents: document::store::Store,
     delegations: delegate::Store,
@@ -56,14 +64,14 @@
         serde_json::to_vec(&applied).unwrap_or_default()
     }
 
-    /// Writes the state out.
-    pub fn snapshot(&self) -> Vec<u8> {
-        let image = Image {
+    /// Takes hold of the state, to be written out in another thread.
+    pub fn snapshot(&self) -> log::Encode {
+        let held = Held {
             documents: self.documents.borrow().clone(),
             delegations: self.delegations.borrow().clone(),
-            claims: self.claims.borrow().clone(),
+            claims: self.claims.borrow().image(),
         };
-        serde_json::to_vec(&image).unwrap_or_default()
+        Box::new(move || serde_json::to_vec(&held).map_err(|e| e.to_string().into()))
     }
 
     /// Replaces the state by one written out.
--- a/src/log/disk.rs
+++ b/src/log/disk.rs
@@ -8,16 +8,15 @@
 use std::io::{self, Write};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
-use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::mpsc;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll, Waker};
 use std::thread::{self, JoinHandle};
 
 use super::folder::{self, Segment};
 use super::model::{Entry, Snapshot, Vote};
 use super::sealed;
 use super::segment;
+use super::slot::{Done, Slot};
 use crate::ids;
 
 /// Size at which a new segment is begun, in bytes.
@@ -38,33 +37,11 @@
 
 struct Job {
     work: Work,
-    done: Arc<Mutex<Slot>>,
+    done: Slot<Synced>,
 }
 
-/// Result of a job, and who waits for it.
-#[derive(Default)]
-struct Slot {
-    result: Option<Result<(), Arc<str>>>,
-    waker: Option<Waker>,
-}
-
-/// Waits for a job of another thread; await it in a spawned task only.
-pub(super) struct Done {
-    slot: Arc<Mutex<Slot>>,
-}
-
-impl Future for Done {
-    type Output = Result<(), Arc<str>>;
-
-    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
-        let mut slot = self.slot.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(result) = slot.result.take() {
-            return Poll::Ready(result);
-        }
-        slot.waker = Some(cx.waker().clone());
-        Poll::Pending
-    }
-}
+/// Result of a job.
+type Synced = Result<(), Arc<str>>;
 
 /// The side of the thread that gives it work.
 #[derive(Debug)]
@@ -101,17 +78,17 @@
     }
 
     /// Hands over work; the answer says that it is synced.
-    pub(super) fn submit(&self, work: Work) -> Done {
-        let slot = Arc::new(Mutex::new(Slot::default()));
-        let job = Job {
-            work,
-            done: Arc::clone(&slot),
+    pub(super) fn submit(&self, work: Work) -> Done<Synced> {
+        let (slot, done) = Slot::new();
+        let job = Job { work, done: slot };
+        let unsent = match &self.jobs {
+            Some(jobs) => jobs.send(job).err().map(|refused| refused.0),
+            None => Some(job),
         };
-        let sent = self.jobs.as_ref().is_some_and(|j| j.send(job).is_ok());
-        if !sent {
-            finish(&slot, Err("the disk thread has ended".into()));
+        if let Some(job) = unsent {
+            job.done.finish(Err("the disk thread has ended".into()));
         }
-        Done { slot }
+        done
     }
 
     /// Ends the thread once it has done its work, and gives the folder free.
@@ -123,16 +100,6 @@
     }
 }
 
-fn finish(slot: &Mutex<Slot>, result: Result<(), Arc<str>>) {
-    let mut slot = slot.lock().unwrap_or_else(PoisonError::into_inner);
-    slot.result = Some(result);
-    let waker = slot.waker.take();
-    drop(slot);
-    if let Some(waker) = waker {
-        waker.wake();
-    }
-}
-
 /// The files that the thread writes.
 struct Store {
     folder: PathBuf,
@@ -152,7 +119,7 @@
                 None => self.run(&job.work).map_err(|e| e.to_string().into()),
             };
             self.failed = result.as_ref().err().cloned();
-            finish(&job.done, result);
+            job.done.finish(result);
         }
     }
 
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -25,6 +25,7 @@
 mod replicate;
 mod sealed;
 mod segment;
+mod slot;
 mod snapshots;
 mod state;
 #[cfg(test)]
@@ -90,6 +91,11 @@
 /// Applies a command and gives its output.
 pub type Apply = Box<dyn FnMut(ids::LogIndex, &[u8]) -> Vec<u8>>;
 
+/// Writes out a state that was taken hold of; runs in a thread of its own.
+///
+/// An error leaves the snapshot before in place.
+pub type Encode = Box<dyn FnOnce() -> Result<Vec<u8>, Arc<str>> + Send>;
+
 /// Replaces the whole state, or says why it can't.
 pub type Restore = Box<dyn FnMut(ids::LogIndex, &[u8]) -> Result<(), Arc<str>>>;
 
@@ -97,8 +103,8 @@
 pub struct Machine {
     /// Applies a command and gives its output.
     pub apply: Apply,
-    /// Writes out the whole state.
-    pub snapshot: Box<dyn Fn() -> Vec<u8>>,
+    /// Takes hold of the whole state as it is now.
+    pub snapshot: Box<dyn Fn() -> Encode>,
     /// Replaces the whole state by one written out before.
     pub restore: Restore,
 }
--- a/src/log/node.rs
+++ b/src/log/node.rs
@@ -11,7 +11,7 @@
 use super::messages::Route;
 use super::model::{Body, DiskId, Entry, Seat, Snapshot};
 use super::state::{Leader, State};
-use super::{Config, Machine, Tuning};
+use super::{Config, Encode, Machine, Tuning};
 use crate::clock;
 use crate::ids;
 use crate::notify::Notify;
@@ -256,14 +256,14 @@
         }
     }
 
-    /// The machine's state, as a snapshot of what has been applied.
-    pub(super) fn snapshot(&self) -> Option<Snapshot> {
-        let mut snapshot = {
+    /// A snapshot of what has been applied, without its data, and what writes the data out.
+    pub(super) fn snapshot(&self) -> Option<(Snapshot, Encode)> {
+        let snapshot = {
             let state = self.state();
             state.log.snapshot_at(state.applied)?
         };
-        snapshot.data = (self.machine.borrow().snapshot)();
-        Some(snapshot)
+        let encode = (self.machine.borrow().snapshot)();
+        Some((snapshot, encode))
     }
 
     /// Replaces the machine's state.
--- a/src/log/snapshots.rs
+++ b/src/log/snapshots.rs
@@ -2,14 +2,19 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::disk::Work;
 use super::follow;
 use super::messages::{Appended, Chunk, Outcome};
 use super::model::Snapshot;
 use super::node::{IDLE, Node};
+use super::slot;
 use super::state::Incoming;
 
+/// Pause after a snapshot that could not be written out.
+const FAILED_PAUSE: Duration = Duration::from_secs(10);
+
 /// Takes a snapshot whenever enough has been applied, until the log stops.
 pub(super) async fn compact(node: Rc<Node>) {
     while !node.stopped() {
@@ -17,9 +22,22 @@
         if !is_due(&node) {
             continue;
         }
-        let Some(snapshot) = node.snapshot() else {
+        let Some((mut snapshot, encode)) = node.snapshot() else {
             continue;
         };
+        match slot::aside(encode).await {
+            Some(Ok(data)) => snapshot.data = data,
+            Some(Err(reason)) => {
+                node.record("log.no_snapshot", &reason);
+                monoio::time::sleep(FAILED_PAUSE).await;
+                continue;
+            }
+            None => {
+                node.record("log.no_snapshot", "no thread");
+                monoio::time::sleep(FAILED_PAUSE).await;
+                continue;
+            }
+        }
         let snapshot = Arc::new(snapshot);
         if !node.write(Work::Save(Arc::clone(&snapshot))).await {
             return;
--- a/src/log/tests/bench.rs
+++ b/src/log/tests/bench.rs
@@ -66,7 +66,10 @@
             }
             list.borrow().len().to_string().into_bytes()
         }),
-        snapshot: Box::new(move || serde_json::to_vec(&*all.borrow()).unwrap()),
+        snapshot: Box::new(move || {
+            let all = all.borrow().clone();
+            Box::new(move || serde_json::to_vec(&all).map_err(|e| e.to_string().into()))
+        }),
         restore: Box::new(move |index, bytes| {
             restored.set(index);
             *whole.borrow_mut() =
--- a/src/log/tests/mod.rs
+++ b/src/log/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the log: files by properties, members by small clusters on loopback.
 
+mod aside;
 mod bench;
 mod cluster;
 mod faults;
