Show renewals in status, and call a drained server back by the client

Cause: status never filled in the renewals, counted an entry VM silent for less than ten seconds as one with the document in force, and only HTTP could take a drain back.

--- a/src/client/drain.rs
+++ b/src/client/drain.rs
@@ -16,20 +16,29 @@
     /// name of its service
     #[argh(option)]
     service: String,
+    /// call the server back instead
+    #[argh(switch)]
+    off: bool,
 }
 
 /// Runs the subcommand.
 pub async fn run(arguments: &Arguments, control: &Control) -> Result<Answer, Failure> {
     let service = control::segment(&arguments.service);
     let server = control::segment(&arguments.server);
-    let path = format!("/v1/servers/{service}/{server}/drain");
+    let query = if arguments.off { "?off=1" } else { "" };
+    let path = format!("/v1/servers/{service}/{server}/drain{query}");
     let reply = control.post(&path, &()).await?;
     if reply.status != control::STATUS_OK {
         return Err(control::refusal(&reply));
     }
     let draining: api::Draining = control::parse(&reply).map_err(|_| control::unknown(&reply))?;
+    let verb = if arguments.off {
+        "is called back"
+    } else {
+        "is draining"
+    };
     let text = format!(
-        "{} of {} is draining and holds {} spans",
+        "{} of {} {verb} and holds {} spans",
         draining.server, draining.service, draining.spans
     );
     Ok(Answer::done(text, &draining))
--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -8,7 +8,7 @@
 //! | `GET /v1/documents/{service}/history` | 200 [`History`], 404 |
 //! | `GET /v1/status` | 200 [`Status`] |
 //! | `GET /v1/vms` | 200 [`Vms`] |
-//! | `POST /v1/servers/{service}/{server}/drain` | 200 [`Draining`], 404 |
+//! | `POST /v1/servers/{service}/{server}/drain` `[?off=1]` | 200 [`Draining`], 404 |
 //! | `GET /v1/timeline?after=SEQ` | 200 [`Timeline`] |
 //! | `GET /metrics` | 200, Prometheus text |
 //!
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Response;
@@ -15,7 +15,7 @@
 use super::daemon::Control;
 use super::{answer, operator};
 use crate::clock;
-use crate::delegate::messages::EntryVm;
+use crate::delegate::{self, messages::EntryVm};
 use crate::document::store;
 use crate::grant::overview::{self, Overview};
 use crate::ids;
@@ -27,7 +27,7 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Silence after which an entry VM is not counted on for a document in force.
-const PRESENT: Duration = Duration::from_secs(10);
+const PRESENT: Duration = Duration::from_secs(2);
 
 /// The state of the whole system.
 pub async fn status(control: &Control) -> api::Status {
@@ -179,6 +179,7 @@
         .iter()
         .partition(|e| e.index >= entry.index && is_present(control, &e.vm));
     let store = control.state.delegations.borrow();
+    let office = control.office.borrow();
     let zones: Vec<_> = store
         .delegations(service)
         .map(|delegation| {
@@ -187,7 +188,8 @@
                     && o.zone == delegation.zone
                     && o.epoch == delegation.epoch
             });
-            zone(delegation, overview.next_back())
+            let renewed = office.renewed(&delegation.service, &delegation.zone);
+            zone(delegation, overview.next_back(), renewed)
         })
         .collect();
     api::ServiceStatus {
@@ -209,7 +211,11 @@
     answered: bool,
 }
 
-fn zone(delegation: &crate::delegate::Delegation, overview: Option<&Overview>) -> Zone {
+fn zone(
+    delegation: &delegate::Delegation,
+    overview: Option<&Overview>,
+    renewed: Option<Instant>,
+) -> Zone {
     let servers = overview.map(|o| o.servers.iter().map(server).collect());
     Zone {
         status: api::ZoneStatus {
@@ -217,7 +223,7 @@
             carrier: Arc::clone(&delegation.carrier),
             epoch: delegation.epoch,
             spans: delegation.spans.len() as u64,
-            renewed_ms: None,
+            renewed_ms: renewed.map(|at| clock::as_ms(clock::now().saturating_duration_since(at))),
             servers: servers.unwrap_or_default(),
         },
         keys: delegation.spans.iter().map(crate::keys::Span::width).sum(),
--- a/src/delegate/appoint.rs
+++ b/src/delegate/appoint.rs
@@ -136,6 +136,12 @@
         self.entries.insert(Arc::clone(&request.entry.vm), seen);
     }
 
+    /// When the leader last answered a renewal of a service in a zone.
+    pub fn renewed(&self, service: &ids::ServiceName, zone: &ids::ZoneName) -> Option<Instant> {
+        let key = (Arc::clone(service), Arc::clone(zone));
+        self.duties.get(&key)?.renewed
+    }
+
     /// Answers a carrier; the leader has confirmed its leadership since the request arrived.
     pub fn renew(&mut self, now: Instant, request: &RenewRequest, store: &Store) -> RenewAnswer {
         self.learn(now, store);
