--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -5,6 +5,8 @@
 use crate::claim;
 use crate::delegate;
 use crate::document;
+use crate::fleet;
+use crate::table;
 
 /// One command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -16,6 +18,10 @@
     Delegate(delegate::store::Change),
     /// A change of claim records.
     Claim(claim::Change),
+    /// A change of the routing table.
+    Table(table::Change),
+    /// A change of backend servers and their keys.
+    Fleet(fleet::Change),
 }
 
 /// What a [`Command`] led to.
@@ -28,6 +34,10 @@
     Delegate(delegate::store::Applied),
     /// Outcome for claim records.
     Claim(claim::Applied),
+    /// Outcome for the routing table.
+    Table(table::Applied),
+    /// Outcome for backend servers and their keys.
+    Fleet,
     /// The command could not be read and was passed over.
     Unreadable,
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -10,9 +10,11 @@
 use crate::claim;
 use crate::delegate;
 use crate::document;
+use crate::fleet;
 use crate::ids;
 use crate::log;
 use crate::notify::Notify;
+use crate::table;
 
 /// The state of this control VM, as far as its log is applied; clones share it.
 #[derive(Clone, Debug, Default)]
@@ -23,6 +25,10 @@
     pub delegations: Rc<RefCell<delegate::Store>>,
     /// Claim records.
     pub claims: Rc<RefCell<claim::Store>>,
+    /// Routing table.
+    pub table: Rc<RefCell<table::Store>>,
+    /// Backend servers and their keys.
+    pub fleet: Rc<RefCell<fleet::Store>>,
     /// Wakes when a command was applied.
     pub changed: Rc<Notify>,
 }
@@ -33,6 +39,8 @@
     documents: document::store::Store,
     delegations: delegate::Store,
     claims: claim::store::Image,
+    table: table::Store,
+    fleet: fleet::Store,
 }
 
 /// The state as a snapshot holds it.
@@ -41,6 +49,10 @@
     documents: document::store::Store,
     delegations: delegate::Store,
     claims: claim::Store,
+    #[serde(default)]
+    table: table::Store,
+    #[serde(default)]
+    fleet: fleet::Store,
 }
 
 impl State {
@@ -70,6 +82,8 @@
             documents: self.documents.borrow().clone(),
             delegations: self.delegations.borrow().clone(),
             claims: self.claims.borrow().image(),
+            table: self.table.borrow().clone(),
+            fleet: self.fleet.borrow().clone(),
         };
         Box::new(move || serde_json::to_vec(&held).map_err(|e| e.to_string().into()))
     }
@@ -84,6 +98,8 @@
         *self.documents.borrow_mut() = image.documents;
         *self.delegations.borrow_mut() = image.delegations;
         *self.claims.borrow_mut() = image.claims;
+        *self.table.borrow_mut() = image.table;
+        *self.fleet.borrow_mut() = image.fleet;
         self.changed.wake();
         Ok(())
     }
@@ -97,6 +113,13 @@
                 Applied::Delegate(self.delegations.borrow_mut().apply(index, change))
             }
             Command::Claim(change) => Applied::Claim(self.claims.borrow_mut().apply(change)),
+            Command::Table(change) => {
+                Applied::Table(self.table.borrow_mut().apply(index, change))
+            }
+            Command::Fleet(change) => {
+                self.fleet.borrow_mut().apply(index, change);
+                Applied::Fleet
+            }
         }
     }
 }
--- /dev/null
+++ b/src/fleet/desk.rs
@@ -0,0 +1,462 @@
+//! The leader's desk: reports, leases, and changes of the table.
+
+use std::cell::{RefCell, RefMut};
+use std::collections::HashSet;
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::balance::Loads;
+use super::leases::Leases;
+use super::messages::{Granted, Leave, Lease, Load, Renewal, Report};
+use super::model::{Life, Server, Standing};
+use super::plan::{self, Candidate};
+use super::rows::Assigned;
+use super::store::{Change, Store};
+use super::probe;
+use crate::clock;
+use crate::control::command::{Applied, Command};
+use crate::control::propose;
+use crate::control::state::State;
+use crate::ids;
+use crate::log;
+use crate::table;
+use crate::timeline::{Event, Journal};
+
+/// Time between looks at the rows.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time between looks at the balance; a move takes about a second to come into force.
+const EVEN_EVERY: Duration = Duration::from_secs(2);
+
+/// Silence after which a backend server gets no further keys: two heartbeats.
+const QUIET_AFTER: Duration = Duration::from_millis(2000);
+
+/// Silence after which one that holds no keys is taken for gone: longer than any cut.
+const FORGET_AFTER: Duration = Duration::from_secs(40);
+
+/// Time that the first backend servers get to report before keys are dealt out.
+const GATHER: Duration = Duration::from_millis(1500);
+
+/// What is left of a counted request after one look at the balance.
+const FADE: f64 = 0.6;
+
+/// Why the desk has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Another VM leads, or none.
+    NotLeader,
+    /// It may or may not have been done.
+    Unsure,
+    /// The message can't be right.
+    Malformed(Arc<str>),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotLeader => f.write_str("this VM does not lead"),
+            Self::Unsure => f.write_str("it may or may not have been done"),
+            Self::Malformed(reason) => write!(f, "malformed: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+/// What the leader does for backend servers and operators.
+pub struct Desk {
+    pub(super) log: log::Handle,
+    pub(super) state: State,
+    journal: Journal,
+    /// Longest lease of a backend server.
+    length: Duration,
+    leases: RefCell<Option<Leases>>,
+    loads: RefCell<Loads>,
+    /// When the first report for a service came.
+    first: RefCell<Option<Instant>>,
+    probing: RefCell<HashSet<Life>>,
+}
+
+impl Desk {
+    /// A desk over a log and its state; leases are at most `length` long.
+    pub fn new(log: log::Handle, state: State, journal: Journal, length: Duration) -> Rc<Self> {
+        Rc::new(Self {
+            log,
+            state,
+            journal,
+            length,
+            leases: RefCell::default(),
+            loads: RefCell::default(),
+            first: RefCell::default(),
+            probing: RefCell::default(),
+        })
+    }
+
+    /// Takes a change of the table.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Unsure`] if the change may yet be accepted.
+    pub async fn change(&self, change: table::Change) -> Result<table::Applied, Refusal> {
+        let version = change.version;
+        match self.put(Command::Table(change)).await? {
+            Applied::Table(applied) => {
+                let detail = format!("version {version} {applied:?}");
+                self.journal.record(Event::new("table.change").detail(&detail));
+                Ok(applied)
+            }
+            _ => Err(Refusal::Unsure),
+        }
+    }
+
+    /// The newest table.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NotLeader`] if this VM can't be sure which is the newest.
+    pub async fn table(&self) -> Result<Option<Arc<table::Table>>, Refusal> {
+        let barrier = self.log.read_barrier().await;
+        barrier.map_err(|_| Refusal::NotLeader)?;
+        Ok(self.state.table.borrow().current().map(Arc::clone))
+    }
+
+    /// Makes a VM known.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if that can't be done here and now.
+    pub async fn vm(&self, vm: super::Vm) -> Result<(), Refusal> {
+        self.fleet(Change::Vm(vm)).await
+    }
+
+    /// Counts requests.
+    pub fn count(&self, loads: &[Load]) {
+        let mut all = self.loads.borrow_mut();
+        loads.iter().for_each(|l| all.add(l));
+    }
+
+    /// Answers the report of a backend server.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if nothing may be renewed here and now.
+    pub async fn report(&self, report: Report) -> Result<Renewal, Refusal> {
+        let received = clock::now();
+        let since = self.log.leading_since().ok_or(Refusal::NotLeader)?;
+        self.first.borrow_mut().get_or_insert(received);
+        let index = self.log.applied();
+        let life = report.life().clone();
+        if !self.leases(since).take(&report, index, received) {
+            return Ok(Renewal::default());
+        }
+        self.announce(&report).await?;
+        let service = &report.server.service;
+        if !self.state.table.borrow().is_owned(service) {
+            return Ok(Renewal::default());
+        }
+        let standing = self.fleet_ref(|store| store.life(&life).map(|s| s.standing));
+        match standing {
+            Some(Standing::Ready) => self.assign(since, service, &life).await?,
+            Some(_) => self.settle(since, service, false).await?,
+            None => return Ok(Renewal::default()),
+        }
+        if self.log.leading_since() != Some(since) {
+            return Err(Refusal::NotLeader);
+        }
+        self.leases(since).granted(&life, received);
+        let lease = self.fleet_ref(|store| lease(store, service, &life, self.length));
+        Ok(Renewal { lease: Some(lease) })
+    }
+
+    /// Notes that a backend server leaves.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if that can't be made durable here and now.
+    pub async fn leave(&self, leave: Leave) -> Result<(), Refusal> {
+        let since = self.log.leading_since().ok_or(Refusal::NotLeader)?;
+        let server = self.fleet_ref(|store| store.server(&leave.server).map(Arc::clone));
+        let named = |s: &Arc<Server>| leave.born.is_none_or(|b| b == s.life.born);
+        let Some(server) = server.filter(named) else {
+            return Ok(());
+        };
+        self.stand(&server.life, Standing::Left).await?;
+        if self.state.table.borrow().is_owned(&server.service) {
+            self.settle(since, &server.service, false).await?;
+        }
+        Ok(())
+    }
+
+    /// Watches rows and backend servers while this VM leads, for ever.
+    pub async fn run(self: Rc<Self>) {
+        let mut evened = clock::now();
+        loop {
+            monoio::time::sleep(TICK).await;
+            if self.log.is_stopped() {
+                return;
+            }
+            let Some(since) = self.log.leading_since() else {
+                continue;
+            };
+            let now = clock::now();
+            let even = now >= evened + EVEN_EVERY;
+            if even {
+                evened = now;
+            }
+            self.look(since, even).await;
+        }
+    }
+
+    async fn look(self: &Rc<Self>, since: Instant, even: bool) {
+        let services: Vec<_> = {
+            let table = self.state.table.borrow();
+            let services = table.current().into_iter().flat_map(|t| &t.services);
+            let owned = services.filter(|s| s.owned);
+            owned.map(|s| Arc::clone(&s.name)).collect()
+        };
+        let first = *self.first.borrow();
+        let gathered = first.is_some_and(|f| clock::now() >= f + GATHER);
+        for service in services.iter().filter(|_| gathered) {
+            if let Err(refusal) = self.settle(since, service, even).await {
+                ::log::warn!("event=fleet.plan service={service:?} refused={refusal:?}");
+            }
+        }
+        if even {
+            self.loads.borrow_mut().fade(FADE);
+            self.forget(since).await;
+        }
+        self.probe(since);
+    }
+
+    /// Looks whether silent holders of keys have ended.
+    fn probe(self: &Rc<Self>, since: Instant) {
+        for server in self.suspects(since) {
+            if !self.probing.borrow_mut().insert(server.life.clone()) {
+                continue;
+            }
+            let desk = Rc::clone(self);
+            monoio::spawn(async move {
+                let ended = probe::has_ended(server.address).await;
+                desk.probing.borrow_mut().remove(&server.life);
+                if ended && desk.log.leading_since() == Some(since) {
+                    desk.leases(since).died(&server.life);
+                    desk.gone(&server.life, "no process at its address").await;
+                }
+            });
+        }
+    }
+
+    /// Holders of keys that are silent or have left.
+    fn suspects(&self, since: Instant) -> Vec<Arc<Server>> {
+        let now = clock::now();
+        let leases = self.leases(since);
+        self.fleet_ref(|store| {
+            let rows = store.rows.values().flat_map(super::rows::Rows::iter);
+            let mut holders: Vec<_> = rows.filter_map(|r| r.holder.as_ref()).collect();
+            holders.sort();
+            holders.dedup();
+            let servers = holders.into_iter().filter_map(|l| store.life(l));
+            let suspect = |s: &&Arc<Server>| {
+                s.standing == Standing::Left || leases.is_silent(&s.life, QUIET_AFTER, now)
+            };
+            servers.filter(suspect).map(Arc::clone).collect()
+        })
+    }
+
+    /// Takes backend servers without keys for gone that were silent for long.
+    async fn forget(&self, since: Instant) {
+        let now = clock::now();
+        let silent: Vec<_> = {
+            let leases = self.leases(since);
+            let forgotten = |s: &Server| leases.is_silent(&s.life, FORGET_AFTER, now);
+            self.fleet_ref(|store| {
+                let servers = store.servers.values().map(|d| &d.value);
+                let known = servers.filter(|s| s.standing != Standing::Gone && forgotten(s));
+                known.map(|s| s.life.clone()).collect()
+            })
+        };
+        for life in silent {
+            self.gone(&life, "silent for long").await;
+        }
+    }
+
+    async fn gone(&self, life: &Life, reason: &str) {
+        if let Err(refusal) = self.stand(life, Standing::Gone).await {
+            ::log::warn!("event=fleet.gone refused={refusal:?}");
+            return;
+        }
+        let event = Event::new("fleet.gone").server(&life.server);
+        self.journal.record(event.detail(reason));
+    }
+
+    /// Names new holders where that is due.
+    async fn settle(
+        &self,
+        since: Instant,
+        service: &ids::ServiceName,
+        even: bool,
+    ) -> Result<(), Refusal> {
+        let spans = {
+            let now = clock::now();
+            let leases = self.leases(since);
+            let shares = self.loads.borrow().shares(service);
+            self.fleet_ref(|store| {
+                let rows = store.rows(service).cloned().unwrap_or_default();
+                let candidates = candidates(store, &leases, service, now);
+                plan::plan(&rows, &candidates, &shares, even)
+            })
+        };
+        if spans.is_empty() {
+            return Ok(());
+        }
+        let detail = format!("{} spans even={even}", spans.len());
+        let event = Event::new("fleet.release").service(service);
+        self.journal.record(event.detail(&detail));
+        self.fleet(Change::Release {
+            service: Arc::clone(service),
+            spans,
+        })
+        .await
+    }
+
+    /// Hands to a life the keys that it is the next holder of and that are free.
+    async fn assign(
+        &self,
+        since: Instant,
+        service: &ids::ServiceName,
+        life: &Life,
+    ) -> Result<(), Refusal> {
+        let spans: Vec<_> = {
+            let now = clock::now();
+            let leases = self.leases(since);
+            self.fleet_ref(|store| {
+                let rows = store.rows(service).into_iter().flat_map(|r| r.iter());
+                let named = rows.filter(|r| r.next.as_ref().is_some_and(|n| n.life == *life));
+                let free = named.filter(|r| leases.is_free(r, store, now));
+                let spans = free.flat_map(|r| leases.handed(service, r));
+                let assigned = spans.map(|(from, to, token)| Assigned { from, to, token });
+                assigned.collect()
+            })
+        };
+        if spans.is_empty() {
+            return Ok(());
+        }
+        {
+            let mut leases = self.leases(since);
+            let handed = spans.iter().for_each(|s| leases.handed_on(service, s.from, s.to));
+            handed
+        }
+        let event = Event::new("fleet.assign").service(service).server(&life.server);
+        self.journal.record(event.detail(&format!("{} spans", spans.len())));
+        self.fleet(Change::Assign {
+            service: Arc::clone(service),
+            life: life.clone(),
+            spans,
+        })
+        .await
+    }
+
+    /// Makes what a report says of its sender known, if it is new.
+    async fn announce(&self, report: &Report) -> Result<(), Refusal> {
+        let known = {
+            let store = self.state.fleet.borrow();
+            let known = store.servers.get(&report.life().server);
+            known.map(|d| Arc::clone(&d.value))
+        };
+        let same = known.filter(|k| k.life == *report.life());
+        let Some(known) = same else {
+            let event = Event::new("fleet.announced")
+                .server(&report.life().server)
+                .service(&report.server.service);
+            self.journal.record(event);
+            return self.fleet(Change::Announce(report.server.clone())).await;
+        };
+        if known.service != report.server.service || known.address != report.server.address {
+            return Err(Refusal::Malformed("another service or address".into()));
+        }
+        match (known.standing, report.server.standing) {
+            (Standing::Ready, Standing::Draining) => {
+                self.stand(&known.life, Standing::Draining).await
+            }
+            _ => Ok(()),
+        }
+    }
+
+    async fn stand(&self, life: &Life, standing: Standing) -> Result<(), Refusal> {
+        let event = Event::new("fleet.stand").server(&life.server);
+        self.journal.record(event.detail(&format!("{standing:?}")));
+        let life = life.clone();
+        self.fleet(Change::Stand { life, standing }).await
+    }
+
+    async fn fleet(&self, change: Change) -> Result<(), Refusal> {
+        self.put(Command::Fleet(change)).await.map(|_| ())
+    }
+
+    async fn put(&self, command: Command) -> Result<Applied, Refusal> {
+        let applied = propose::propose(&self.log, &command).await;
+        applied.map_err(|e| match e {
+            log::ProposeError::NotLeader { .. } => Refusal::NotLeader,
+            log::ProposeError::Unsure | log::ProposeError::Stopped => Refusal::Unsure,
+        })
+    }
+
+    fn fleet_ref<T, F>(&self, look: F) -> T
+    where
+        F: FnOnce(&Store) -> T,
+    {
+        look(&self.state.fleet.borrow())
+    }
+
+    /// What is known of leases since this VM leads.
+    fn leases(&self, since: Instant) -> RefMut<'_, Leases> {
+        RefMut::map(self.leases.borrow_mut(), |leases| {
+            let current = leases.take().filter(|l| l.since() == since);
+            leases.insert(current.unwrap_or_else(|| Leases::new(self.length, since)))
+        })
+    }
+}
+
+impl fmt::Debug for Desk {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Desk").finish_non_exhaustive()
+    }
+}
+
+/// Backend servers that may hold keys: those that take requests and whose lease lives.
+fn candidates(store: &Store, leases: &Leases, service: &str, now: Instant) -> Vec<Candidate> {
+    let quiet = |s: &Server| leases.is_silent(&s.life, QUIET_AFTER, now);
+    let holds = |s: &Server| {
+        let mut rows = store.rows(service).into_iter().flat_map(|r| r.iter());
+        rows.any(|r| r.holder.as_ref() == Some(&s.life) && r.next.is_none())
+    };
+    let lives = |s: &Server| {
+        !quiet(s) || (holds(s) && !leases.has_ended(&s.life, store, now))
+    };
+    let ready = store
+        .of(service)
+        .filter(|s| s.standing == Standing::Ready && lives(s));
+    let candidate = |s: &Arc<Server>| Candidate {
+        life: s.life.clone(),
+        weight: f64::from(s.slots.max(1)),
+    };
+    ready.map(candidate).collect()
+}
+
+/// All that a life is to hold.
+fn lease(store: &Store, service: &str, life: &Life, length: Duration) -> Lease {
+    let rows = store.rows(service).into_iter().flat_map(|r| r.iter());
+    let own = rows.filter(|r| r.holder.as_ref() == Some(life) && r.next.is_none());
+    let grant = |r: &super::Row| Granted {
+        from: r.from,
+        to: r.to,
+        fence: r.fence,
+        token: r.token.clone(),
+    };
+    Lease {
+        grants: own.take(2 * plan::ROWS_PER_SERVER).map(grant).collect(),
+        length,
+    }
+}
--- /dev/null
+++ b/src/fleet/front.rs
@@ -0,0 +1,320 @@
+//! What any control VM does for backend servers, operators and entry VMs.
+//!
+//! A VM that leads answers by itself; another passes the call on to the
+//! leader. What entry VMs ask is answered from the own copy of the log, as long
+//! as a leader was heard lately.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+
+use super::balance::Loads;
+use super::desk::{Desk, Refusal};
+use super::messages::{self, Leave, Load, Renewal, Report};
+use super::model::{Life, Standing, Vm};
+use super::news::{self, News, Poll};
+use crate::clock;
+use crate::ids;
+use crate::rpc::{self, Answer, CallError, Fault, error, server};
+use crate::table;
+use crate::timeline::Journal;
+
+/// Longest that a question for news is held open.
+///
+/// An entry VM that hears nothing takes this and a round trip to look elsewhere,
+/// well inside the time within which a change must be in force.
+pub const POLL_HOLD: Duration = Duration::from_millis(800);
+
+/// Longest wait for the leader: callers turn to another VM after a second.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(850);
+
+/// Time between two loads passed on to the leader.
+const LOADS_EVERY: Duration = Duration::from_secs(1);
+
+/// How long an unchanged report of a server without keys is answered without the leader.
+const ANSWERED_HERE: Duration = Duration::from_secs(10);
+
+/// One control VM, as others see it.
+pub struct Front {
+    desk: Rc<Desk>,
+    journal: Journal,
+    peers: RefCell<BTreeMap<SocketAddr, rpc::Peer>>,
+    loads: RefCell<Loads>,
+    passed: RefCell<HashMap<Life, Instant>>,
+}
+
+impl Front {
+    /// A front before a desk.
+    pub fn new(desk: Rc<Desk>, journal: Journal) -> Rc<Self> {
+        Rc::new(Self {
+            desk,
+            journal,
+            peers: RefCell::default(),
+            loads: RefCell::default(),
+            passed: RefCell::default(),
+        })
+    }
+
+    /// Whether this VM leads.
+    fn leads(&self) -> bool {
+        self.desk.log.leading_since().is_some()
+    }
+
+    /// Takes a change of the table.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if there is no clear outcome.
+    pub async fn change(&self, change: table::Change) -> Result<table::Applied, Refusal> {
+        if self.leads() {
+            return self.desk.change(change).await;
+        }
+        self.pass(messages::CHANGE, &change).await
+    }
+
+    /// The newest table; `None` before the first.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if it can't be told which is the newest.
+    pub async fn table(&self) -> Result<Option<Arc<table::Table>>, Refusal> {
+        if self.leads() {
+            return self.desk.table().await;
+        }
+        self.pass(messages::TABLE, &()).await
+    }
+
+    /// Answers the report of a backend server.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if nothing may be renewed here and now.
+    pub async fn report(&self, report: Report) -> Result<Renewal, Refusal> {
+        if self.leads() {
+            return self.desk.report(report).await;
+        }
+        if self.is_known(&report) {
+            return Ok(Renewal::default());
+        }
+        let renewal = self.pass(messages::REPORT, &report).await?;
+        let life = report.life().clone();
+        self.passed.borrow_mut().insert(life, clock::now());
+        Ok(renewal)
+    }
+
+    /// Notes that a backend server leaves.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if that can't be made durable here and now.
+    pub async fn leave(&self, leave: Leave) -> Result<(), Refusal> {
+        if self.leads() {
+            return self.desk.leave(leave).await;
+        }
+        self.pass(messages::LEAVE, &leave).await
+    }
+
+    /// Makes a VM known.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if that can't be made durable here and now.
+    pub async fn vm(&self, vm: Vm) -> Result<(), Refusal> {
+        if self.leads() {
+            return self.desk.vm(vm).await;
+        }
+        self.pass(messages::VM, &vm).await
+    }
+
+    /// Whether a report says nothing that the leader would want to hear now.
+    fn is_known(&self, report: &Report) -> bool {
+        let server = &report.server;
+        let store = self.desk.state.fleet.borrow();
+        let table = self.desk.state.table.borrow();
+        let listed = table.current().into_iter().flat_map(|t| &t.services);
+        let keyless = listed.into_iter().any(|s| s.name == server.service && !s.owned);
+        let same = store.life(&server.life).is_some_and(|k| {
+            k.standing == Standing::Ready
+                && k.standing == server.standing
+                && k.address == server.address
+                && k.service == server.service
+        });
+        let passed = self.passed.borrow().get(&server.life).copied();
+        let lately = passed.is_some_and(|p| clock::now() < p + ANSWERED_HERE);
+        keyless && same && lately && self.desk.log.is_current()
+    }
+
+    /// Answers a call of another process.
+    pub async fn answer(self: Rc<Self>, method: Box<str>, body: Box<RawValue>) -> Answer {
+        if let Some(answer) = self.desk.log.answer(&method, &body).await {
+            return answer;
+        }
+        match &*method {
+            news::POLL => reply(self.poll(server::params(&body)?).await),
+            messages::REPORT if self.leads() => {
+                reply(self.desk.report(server::params(&body)?).await)
+            }
+            messages::LEAVE if self.leads() => reply(self.desk.leave(server::params(&body)?).await),
+            messages::CHANGE if self.leads() => {
+                reply(self.desk.change(server::params(&body)?).await)
+            }
+            messages::TABLE if self.leads() => reply(self.desk.table().await),
+            messages::VM if self.leads() => reply(self.desk.vm(server::params(&body)?).await),
+            messages::LOADS if self.leads() => {
+                let loads: Vec<Load> = server::params(&body)?;
+                self.desk.count(&loads);
+                server::result(&())
+            }
+            other if is_known_method(other) => reply::<()>(Err(Refusal::NotLeader)),
+            other => Err(server::unknown(other)),
+        }
+    }
+
+    /// Answers an entry VM once something changed, or after a while.
+    async fn poll(self: &Rc<Self>, poll: Poll) -> Result<News, Refusal> {
+        self.note(&poll);
+        let end = clock::now() + POLL_HOLD;
+        loop {
+            if !self.desk.log.is_current() {
+                return Err(Refusal::NotLeader);
+            }
+            let news = self.news(poll.have);
+            let left = end.saturating_duration_since(clock::now());
+            if !news.is_empty() || left.is_zero() || news.index < poll.have {
+                return Ok(news);
+            }
+            self.desk.state.changed.wait(left).await;
+        }
+    }
+
+    fn news(&self, have: ids::LogIndex) -> News {
+        let state = &self.desk.state;
+        let index = self.desk.log.applied();
+        news::since(have, index, &state.table.borrow(), &state.fleet.borrow())
+    }
+
+    /// Takes in what an entry VM says of itself.
+    fn note(self: &Rc<Self>, poll: &Poll) {
+        if self.leads() {
+            self.desk.count(&poll.loads);
+        } else {
+            let mut loads = self.loads.borrow_mut();
+            poll.loads.iter().for_each(|l| loads.add(l));
+        }
+        let known = {
+            let store = self.desk.state.fleet.borrow();
+            store.vms().any(|v| *v == poll.vm)
+        };
+        if !known {
+            let (front, vm) = (Rc::clone(self), poll.vm.clone());
+            monoio::spawn(async move { front.introduce(vm).await });
+        }
+    }
+
+    /// Makes a VM known; whoever it is will be back if that fails.
+    async fn introduce(&self, vm: Vm) {
+        if let Err(refusal) = self.vm(vm).await {
+            log::info!("event=fleet.vm_unknown refused={refusal:?}");
+        }
+    }
+
+    /// Makes this VM known and passes loads on to the leader, until the log stops.
+    pub async fn run(self: Rc<Self>, own: Vm) {
+        while !self.desk.log.is_stopped() {
+            monoio::time::sleep(LOADS_EVERY).await;
+            let known = {
+                let store = self.desk.state.fleet.borrow();
+                store.vms().any(|v| *v == own)
+            };
+            if !known {
+                self.introduce(own.clone()).await;
+            }
+            let loads = self.loads.borrow_mut().drain();
+            match loads.as_slice() {
+                [] => {}
+                loads if self.leads() => self.desk.count(loads),
+                loads => {
+                    let passed = self.pass::<_, ()>(messages::LOADS, &loads).await;
+                    if let Err(refusal) = passed {
+                        // Loads are counted anew all the time; these are not missed.
+                        log::debug!("event=fleet.loads_lost refused={refusal:?}");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes a call on to the leader.
+    async fn pass<Q, A>(&self, method: &str, request: &Q) -> Result<A, Refusal>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let leader = self.desk.log.leader().ok_or(Refusal::NotLeader)?;
+        let peer = {
+            let mut peers = self.peers.borrow_mut();
+            let new = || rpc::Peer::new(leader, self.journal.clone());
+            peers.entry(leader).or_insert_with(new).clone()
+        };
+        let answer = peer.call(method, request, LEADER_TIMEOUT).await;
+        answer.map_err(|e| refusal(&e))
+    }
+}
+
+impl fmt::Debug for Front {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Front").finish_non_exhaustive()
+    }
+}
+
+fn is_known_method(method: &str) -> bool {
+    let methods = [
+        messages::REPORT,
+        messages::LEAVE,
+        messages::CHANGE,
+        messages::TABLE,
+        messages::VM,
+        messages::LOADS,
+    ];
+    methods.contains(&method)
+}
+
+fn reply<A>(result: Result<A, Refusal>) -> Answer
+where
+    A: Serialize,
+{
+    match result {
+        Ok(answer) => server::result(&answer),
+        Err(refusal) => Err(fault(&refusal)),
+    }
+}
+
+fn fault(refusal: &Refusal) -> Fault {
+    let code = match refusal {
+        Refusal::NotLeader => error::NOT_LEADER,
+        Refusal::Unsure => error::UNSURE,
+        Refusal::Malformed(_) => error::BAD_REQUEST,
+    };
+    Fault::new(code, &refusal.to_string())
+}
+
+fn refusal(error: &CallError) -> Refusal {
+    match error {
+        CallError::Fault(fault) if fault.code == error::BAD_REQUEST => {
+            Refusal::Malformed(Arc::clone(&fault.message))
+        }
+        CallError::Fault(fault) if fault.code == error::NOT_LEADER => Refusal::NotLeader,
+        CallError::Unreachable(_) => Refusal::NotLeader,
+        CallError::Fault(_) | CallError::Lost | CallError::TimedOut | CallError::Malformed(_) => {
+            Refusal::Unsure
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/leases.rs
@@ -0,0 +1,183 @@
+//! What the leader knows of leases, in its memory only.
+//!
+//! A leader that has just begun knows of no lease, so it counts every life as
+//! holding one for the longest time that its predecessor may have granted.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::messages::{Freed, Hold, Report};
+use super::model::{Key, Life, Row, Token};
+use super::store::Store;
+use crate::ids;
+
+/// Longest lease with what the clock of a backend server may run slow: 2 %, and as much again.
+const CLOCK_SLACK: f64 = 1.04;
+
+/// Freed spans that are kept for each service; older ones are long handed on.
+const FREED_SPANS: usize = 512;
+
+/// The newest report of one life.
+#[derive(Clone, Debug)]
+struct Known {
+    life: Life,
+    sequence: u64,
+    /// When it came.
+    received: Instant,
+    /// Log position that was applied here when it came.
+    index: ids::LogIndex,
+    holds: Vec<Hold>,
+    /// When all that it was granted has run out.
+    ends: Option<Instant>,
+}
+
+/// Leases of all backend servers, as far as this leader knows.
+#[derive(Debug)]
+pub struct Leases {
+    /// Longest lease granted.
+    length: Duration,
+    /// When this VM began to lead.
+    since: Instant,
+    known: HashMap<ids::ServerName, Known>,
+    dead: HashSet<Life>,
+    freed: BTreeMap<ids::ServiceName, Vec<Freed>>,
+}
+
+impl Leases {
+    /// No knowledge, from `since` on; leases are at most `length` long.
+    pub fn new(length: Duration, since: Instant) -> Self {
+        Self {
+            length,
+            since,
+            known: HashMap::new(),
+            dead: HashSet::new(),
+            freed: BTreeMap::new(),
+        }
+    }
+
+    /// When this VM began to lead.
+    pub fn since(&self) -> Instant {
+        self.since
+    }
+
+    /// Takes in a report; false if a newer one of its life, or of a later life, came before.
+    pub fn take(&mut self, report: &Report, index: ids::LogIndex, now: Instant) -> bool {
+        let life = report.life();
+        let known = self.known.get(&life.server);
+        let newer = known.is_some_and(|k| {
+            (k.life.born, k.sequence) >= (life.born, report.sequence)
+        });
+        if newer {
+            return false;
+        }
+        let ends = known.filter(|k| k.life == *life).and_then(|k| k.ends);
+        let known = Known {
+            life: life.clone(),
+            sequence: report.sequence,
+            received: now,
+            index,
+            holds: report.holds.clone(),
+            ends,
+        };
+        self.known.insert(Arc::clone(&life.server), known);
+        let freed = self
+            .freed
+            .entry(Arc::clone(&report.server.service))
+            .or_default();
+        freed.extend(report.freed.iter().cloned());
+        let excess = freed.len().saturating_sub(FREED_SPANS);
+        freed.drain(..excess);
+        true
+    }
+
+    /// Notes that a life was granted a lease on a report that came at `received`.
+    pub fn granted(&mut self, life: &Life, received: Instant) {
+        let known = self.known.get_mut(&life.server);
+        if let Some(known) = known.filter(|k| k.life == *life) {
+            known.ends = Some(received + self.length.mul_f64(CLOCK_SLACK));
+        }
+    }
+
+    /// Notes that a life is proved to have ended.
+    pub fn died(&mut self, life: &Life) {
+        self.dead.insert(life.clone());
+    }
+
+    /// When a life last reported, as far as this leader knows.
+    pub fn heard(&self, life: &Life) -> Option<Instant> {
+        let known = self.known.get(&life.server);
+        known.filter(|k| k.life == *life).map(|k| k.received)
+    }
+
+    /// Whether nothing was heard of a life for `limit`, counted from this leader's start at least.
+    pub fn is_silent(&self, life: &Life, limit: Duration, now: Instant) -> bool {
+        now >= self.heard(life).unwrap_or(self.since) + limit
+    }
+
+    /// Whether whatever a life was granted has run out, or the life has ended.
+    pub fn has_ended(&self, life: &Life, store: &Store, now: Instant) -> bool {
+        if store.life(life).is_none() || self.dead.contains(life) {
+            return true;
+        }
+        let unknown = self.since + self.length.mul_f64(CLOCK_SLACK);
+        let known = self.known.get(&life.server).filter(|k| k.life == *life);
+        now > known.and_then(|k| k.ends).unwrap_or(unknown)
+    }
+
+    /// Whether the present holder of a row is proved to hold it no more.
+    pub fn is_free(&self, row: &Row, store: &Store, now: Instant) -> bool {
+        let Some(holder) = &row.holder else {
+            return true;
+        };
+        let Some(next) = &row.next else { return false };
+        let known = self.known.get(&holder.server).filter(|k| k.life == *holder);
+        let let_go = known.is_some_and(|k| {
+            k.index >= next.since && !k.holds.iter().any(|h| row.overlaps(h.from, h.to))
+        });
+        let_go || self.has_ended(holder, store, now)
+    }
+
+    /// Spans of a row with what was handed over for each.
+    pub fn handed(&self, service: &str, row: &Row) -> Vec<(Key, Key, Option<Token>)> {
+        let freed = self.freed.get(service);
+        let newest = freed.into_iter().flatten().rev();
+        let mut spans = Vec::new();
+        let mut rest = vec![(row.from, row.to)];
+        for freed in newest {
+            let (taken, left) = cut(&rest, freed.from, freed.to);
+            let token = |(from, to)| (from, to, Some(Token::clone(&freed.token)));
+            spans.extend(taken.into_iter().map(token));
+            rest = left;
+        }
+        spans.extend(rest.into_iter().map(|(from, to)| (from, to, None)));
+        spans.sort_by_key(|s| s.0);
+        spans
+    }
+
+    /// Forgets what was handed over for keys that have a new holder.
+    pub fn handed_on(&mut self, service: &str, from: Key, to: Key) {
+        if let Some(freed) = self.freed.get_mut(service) {
+            freed.retain(|f| f.from < from || to < f.to);
+        }
+    }
+}
+
+/// Parts of some spans inside and outside of another.
+fn cut(spans: &[(Key, Key)], from: Key, to: Key) -> (Vec<(Key, Key)>, Vec<(Key, Key)>) {
+    let (mut inside, mut outside) = (Vec::new(), Vec::new());
+    for &(first, last) in spans {
+        if last < from || to < first {
+            outside.push((first, last));
+            continue;
+        }
+        inside.push((first.max(from), last.min(to)));
+        if first < from {
+            outside.push((first, from.saturating_sub(1)));
+        }
+        if to < last {
+            outside.push((to.saturating_add(1), last));
+        }
+    }
+    (inside, outside)
+}
--- /dev/null
+++ b/src/fleet/messages.rs
@@ -0,0 +1,114 @@
+//! What backend servers and control VMs tell each other.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::model::{Key, Life, Server, Token};
+use crate::clock;
+use crate::ids;
+
+/// Method of [`Report`].
+pub const REPORT: &str = "fleet.report";
+/// Method of [`Leave`].
+pub const LEAVE: &str = "fleet.leave";
+/// Method of a change of the table.
+pub const CHANGE: &str = "fleet.change";
+/// Method that reads the table.
+pub const TABLE: &str = "fleet.table";
+/// Method that makes a VM known.
+pub const VM: &str = "fleet.vm";
+/// Method that passes loads on to the leader.
+pub const LOADS: &str = "fleet.loads";
+
+/// Keys that a backend server holds, or is still at work on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hold {
+    /// First key.
+    pub from: Key,
+    /// Last key.
+    pub to: Key,
+    /// Fence that it has them under.
+    pub fence: ids::Fence,
+}
+
+/// Keys that a backend server has let go of.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Freed {
+    /// First key.
+    pub from: Key,
+    /// Last key.
+    pub to: Key,
+    /// For the next holder.
+    pub token: Token,
+}
+
+/// What a backend server says of itself at regular times.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Itself.
+    pub server: Server,
+    /// Number of this report in its life; a later one has a higher number.
+    pub sequence: u64,
+    /// Keys that it holds.
+    pub holds: Vec<Hold>,
+    /// Keys that it has let go of since its last report that was answered.
+    pub freed: Vec<Freed>,
+}
+
+/// Keys that a backend server is to hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Granted {
+    /// First key.
+    pub from: Key,
+    /// Last key.
+    pub to: Key,
+    /// Fence.
+    pub fence: ids::Fence,
+    /// What the last holder handed over.
+    pub token: Option<Token>,
+}
+
+/// All that a backend server is to hold, and for how long.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The keys.
+    pub grants: Vec<Granted>,
+    /// How long, counted from when the report was sent.
+    #[serde(with = "clock::millis")]
+    pub length: Duration,
+}
+
+/// Answer to a [`Report`]; without a lease it renews nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// The lease.
+    pub lease: Option<Lease>,
+}
+
+/// A backend server leaves for good.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leave {
+    /// Name.
+    pub server: ids::ServerName,
+    /// Start of the life that leaves, if it says so.
+    pub born: Option<u64>,
+}
+
+/// Requests for some keys of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Service.
+    pub service: ids::ServiceName,
+    /// Number of the keys' bucket, see [`super::balance::BUCKETS`].
+    pub bucket: u16,
+    /// Requests.
+    pub count: u32,
+}
+
+impl Report {
+    /// Which life reports.
+    pub fn life(&self) -> &Life {
+        &self.server.life
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,33 @@
+//! Backend servers that announce themselves, and which of them holds which keys.
+//!
+//! The control VMs keep both in the replicated log: who is there ([`store`])
+//! and who holds which span of keys under which fence ([`rows`]). A backend
+//! server reports to any control VM; its report reaches the leader, whose
+//! [`desk`] answers with the spans it holds and their lease. What only the
+//! leader must know, such as when a lease ends, stays in its memory
+//! ([`leases`]); a new leader waits for what it can't know. [`plan`] decides
+//! which spans move. Entry VMs follow all of it as [`news`].
+//!
+//! A span changes hands in two steps. First the log names the next holder, and
+//! from then on the old one is no longer given the span. Once the old holder
+//! has reported that it let go, is proved dead, or its lease has run out, the
+//! next report of the new holder is answered with the span and a fence above
+//! all before it.
+
+pub mod balance;
+pub mod daemon;
+pub mod desk;
+pub mod front;
+pub mod leases;
+pub mod messages;
+pub mod model;
+pub mod news;
+pub mod plan;
+pub mod probe;
+pub mod rows;
+pub mod store;
+#[cfg(test)]
+mod tests;
+
+pub use model::{Key, Life, Part, Row, Server, Standing, Vm};
+pub use store::{Change, Store};
--- /dev/null
+++ b/src/fleet/model.rs
@@ -0,0 +1,124 @@
+//! Backend servers, VMs and rows of keys.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock;
+use crate::ids;
+
+/// Key of a request; keys are in order, and neighbours are alike.
+pub type Key = u16;
+
+/// What a holder that let go of keys gives to the next one.
+pub type Token = Arc<str>;
+
+/// One life of a backend server: a restart under the same name is another.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// Name.
+    pub server: ids::ServerName,
+    /// Start, in milliseconds since the Unix epoch by its own clock; orders its lives.
+    pub born: u64,
+}
+
+/// How a backend server stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    /// It takes requests.
+    Ready,
+    /// It is about to leave and takes no new requests.
+    Draining,
+    /// It said that it leaves; it may still run and hold keys.
+    Left,
+    /// It is proved to have ended.
+    Gone,
+}
+
+/// A backend server as it announced itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// Name and start.
+    #[serde(flatten)]
+    pub life: Life,
+    /// Service.
+    pub service: ids::ServiceName,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ids::ZoneName,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// How it stands.
+    pub standing: Standing,
+    /// How long it stays slow, from when it was first heard.
+    #[serde(with = "clock::millis")]
+    pub cold: Duration,
+}
+
+/// What a VM does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Part {
+    /// It serves callers.
+    Entry,
+    /// It keeps the log.
+    Control,
+}
+
+/// A VM of the system.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Name.
+    pub name: ids::VmName,
+    /// Availability zone.
+    pub zone: ids::ZoneName,
+    /// Address for calls between processes.
+    pub address: SocketAddr,
+    /// What it does.
+    pub part: Part,
+}
+
+/// Keys in a row, both ends included, and who holds them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// First key.
+    pub from: Key,
+    /// Last key.
+    pub to: Key,
+    /// Holder, if there ever was one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub holder: Option<Life>,
+    /// Fence of that holder; 0 without one.
+    pub fence: ids::Fence,
+    /// What the holder before it handed over.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token: Option<Token>,
+    /// Who is to hold it next.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<Next>,
+}
+
+/// The next holder of a row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Next {
+    /// Who.
+    pub life: Life,
+    /// Log position from which on the present holder is no longer given the row.
+    pub since: ids::LogIndex,
+}
+
+impl Row {
+    /// Number of keys.
+    pub fn width(&self) -> u32 {
+        u32::from(self.to.saturating_sub(self.from)) + 1
+    }
+
+    /// Whether it shares a key with another span.
+    pub const fn overlaps(&self, from: Key, to: Key) -> bool {
+        self.from <= to && from <= self.to
+    }
+}
--- /dev/null
+++ b/src/fleet/news.rs
@@ -0,0 +1,99 @@
+//! What changed since a log position, for entry VMs.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::messages::Load;
+use super::model::{Row, Server, Standing, Vm};
+use super::store::Store;
+use crate::ids;
+use crate::table;
+
+/// Method of [`Poll`].
+pub const POLL: &str = "fleet.poll";
+
+/// Asks for what changed; the answer is held back until something has.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Poll {
+    /// Who asks.
+    pub vm: Vm,
+    /// Log position that it knows.
+    pub have: ids::LogIndex,
+    /// Requests that it got since it last asked, by keys.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<Load>,
+}
+
+/// Rows of one service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Holders {
+    /// Service.
+    pub service: ids::ServiceName,
+    /// All its rows.
+    pub rows: Vec<Row>,
+}
+
+/// What changed since a log position.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct News {
+    /// Log position that it leads to.
+    pub index: ids::LogIndex,
+    /// Whether all there is stands here, so that what is missing is gone.
+    pub whole: bool,
+    /// The table, if it changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub table: Option<Arc<table::Table>>,
+    /// Backend servers that changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub servers: Vec<Arc<Server>>,
+    /// Services whose rows changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub holders: Vec<Holders>,
+    /// All VMs, if any changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub vms: Vec<Vm>,
+}
+
+impl News {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        !self.whole
+            && self.table.is_none()
+            && self.servers.is_empty()
+            && self.holders.is_empty()
+            && self.vms.is_empty()
+    }
+}
+
+/// What changed after `have`; `index` is the position that the stores reflect.
+pub fn since(
+    have: ids::LogIndex,
+    index: ids::LogIndex,
+    table: &table::Store,
+    store: &Store,
+) -> News {
+    let whole = have == 0 || have < store.floor;
+    let is_new = |changed| whole || changed > have;
+    let current = table.current().filter(|_| is_new(table.changed()));
+    let changed = store.servers.values().filter(|d| is_new(d.changed));
+    let servers = changed.map(|d| &d.value);
+    let holders = store.rows.iter().filter(|(_, r)| is_new(r.changed));
+    let moved = store.vms.values().any(|d| is_new(d.changed));
+    News {
+        index,
+        whole,
+        table: current.map(Arc::clone),
+        servers: servers
+            .filter(|s| !whole || s.standing != Standing::Gone)
+            .map(Arc::clone)
+            .collect(),
+        holders: holders
+            .map(|(service, rows)| Holders {
+                service: Arc::clone(service),
+                rows: rows.iter().cloned().collect(),
+            })
+            .collect(),
+        vms: store.vms().filter(|_| moved).cloned().collect(),
+    }
+}
--- /dev/null
+++ b/src/fleet/plan.rs
@@ -0,0 +1,227 @@
+//! Which keys are to change hands.
+
+use super::balance::Shares;
+use super::model::{Key, Life, Row};
+use super::rows::{Release, Rows};
+
+/// Rows that one backend server holds at most, so that an answer to it stays small.
+pub const ROWS_PER_SERVER: usize = 40;
+
+/// Load above the least loaded one, against the mean, from which on keys move for balance.
+///
+/// Less would follow the noise of some hundred requests.
+const UNEVEN: f64 = 0.5;
+
+/// Moves for balance in one round.
+const MOVES: usize = 2;
+
+/// Pieces that the mean load is cut into when lost keys find new holders.
+const PIECES: f64 = 3.0;
+
+/// A backend server that may hold keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Which.
+    pub life: Life,
+    /// What it can do, against the others.
+    pub weight: f64,
+}
+
+/// A span in a plan: where it is meant to be.
+#[derive(Clone, Debug)]
+struct Span {
+    from: Key,
+    to: Key,
+    /// Who is to hold it; an index of the candidates.
+    place: Option<usize>,
+    /// Whether that is a change.
+    moved: bool,
+    /// Whether it is on its way already.
+    pending: bool,
+}
+
+/// Plans for the rows of one service; `even` also moves keys for balance alone.
+pub fn plan(rows: &Rows, candidates: &[Candidate], shares: &Shares, even: bool) -> Vec<Release> {
+    if candidates.is_empty() {
+        return Vec::new();
+    }
+    let mut plan = Plan {
+        spans: rows.iter().map(|r| span(r, candidates)).collect(),
+        candidates,
+        shares,
+    };
+    if plan.spans.iter().all(|s| s.place.is_none()) {
+        plan.deal();
+    } else {
+        plan.place_lost();
+    }
+    if even {
+        plan.even();
+    }
+    plan.releases()
+}
+
+fn span(row: &Row, candidates: &[Candidate]) -> Span {
+    let index = |life: &Life| candidates.iter().position(|c| c.life == *life);
+    let next = row.next.as_ref().and_then(|n| index(&n.life));
+    let held = row.holder.as_ref().filter(|_| row.next.is_none());
+    Span {
+        from: row.from,
+        to: row.to,
+        place: next.or_else(|| held.and_then(index)),
+        moved: false,
+        pending: next.is_some(),
+    }
+}
+
+struct Plan<'a> {
+    spans: Vec<Span>,
+    candidates: &'a [Candidate],
+    shares: &'a Shares,
+}
+
+impl Plan<'_> {
+    /// Gives every candidate one span, by its weight.
+    fn deal(&mut self) {
+        let total: f64 = self.candidates.iter().map(|c| c.weight).sum();
+        let mut from = Some(0);
+        self.spans.clear();
+        for (i, candidate) in self.candidates.iter().enumerate() {
+            let Some(first) = from else { return };
+            let last = if i + 1 == self.candidates.len() {
+                Some(Key::MAX)
+            } else {
+                self.shares.upto(first, Key::MAX, candidate.weight / total)
+            };
+            let Some(last) = last else { continue };
+            self.spans.push(Span {
+                from: first,
+                to: last,
+                place: Some(i),
+                moved: true,
+                pending: false,
+            });
+            from = last.checked_add(1);
+        }
+    }
+
+    /// Finds holders for keys that have none.
+    fn place_lost(&mut self) {
+        let piece = 1.0 / PIECES / self.candidates.len() as f64;
+        let mut loads = self.loads();
+        let mut spans = Vec::new();
+        for span in std::mem::take(&mut self.spans) {
+            if span.place.is_some() {
+                spans.push(span);
+                continue;
+            }
+            let mut from = Some(span.from);
+            while let Some(first) = from.filter(|f| *f <= span.to) {
+                let upto = self.shares.upto(first, span.to, piece);
+                let last = upto.unwrap_or(first);
+                let place = coldest(&loads);
+                if let Some(load) = place.and_then(|p| loads.get_mut(p)) {
+                    let weight = place.and_then(|p| self.candidates.get(p));
+                    *load += self.shares.of(first, last) / weight.map_or(1.0, |c| c.weight);
+                }
+                spans.push(Span {
+                    from: first,
+                    to: last,
+                    place,
+                    moved: true,
+                    pending: false,
+                });
+                from = last.checked_add(1);
+            }
+        }
+        self.spans = spans;
+    }
+
+    /// Moves keys from the most to the least loaded.
+    fn even(&mut self) {
+        for _ in 0..MOVES {
+            let loads = self.loads();
+            let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+            let (Some(hot), Some(cold)) = (hottest(&loads), coldest(&loads)) else {
+                return;
+            };
+            let load = |i: usize| loads.get(i).copied().unwrap_or(0.0);
+            let gap = load(hot) - load(cold);
+            if gap < UNEVEN * mean || !self.shift(hot, cold, gap / 2.0) {
+                return;
+            }
+        }
+    }
+
+    /// Moves keys of about `share` from one candidate to another; false if none can be.
+    fn shift(&mut self, hot: usize, cold: usize, share: f64) -> bool {
+        let rows = |place| self.spans.iter().filter(|s| s.place == Some(place)).count();
+        if rows(cold) >= ROWS_PER_SERVER || rows(hot) >= ROWS_PER_SERVER {
+            return false;
+        }
+        let weight = self.candidates.get(hot).map_or(1.0, |c| c.weight);
+        let shares = self.shares;
+        let free = |s: &&Span| s.place == Some(hot) && !s.pending && !s.moved;
+        let load = |s: &Span| shares.of(s.from, s.to);
+        let largest = self.spans.iter().filter(free);
+        let Some(largest) = largest.max_by(|a, b| load(a).total_cmp(&load(b))).cloned() else {
+            return false;
+        };
+        let upto = shares.upto(largest.from, largest.to, share * weight);
+        let Some(last) = upto.filter(|l| *l < largest.to || largest.from < largest.to) else {
+            return false;
+        };
+        let moving = Span {
+            to: last,
+            place: Some(cold),
+            moved: true,
+            ..largest
+        };
+        let at = self.spans.iter().position(|s| s.from == largest.from);
+        if let (Some(at), Some(rest)) = (at, last.checked_add(1)) {
+            self.spans.insert(at, moving);
+            if rest > largest.to {
+                self.spans.remove(at + 1);
+            } else if let Some(left) = self.spans.get_mut(at + 1) {
+                left.from = rest;
+            }
+            return true;
+        }
+        false
+    }
+
+    /// Load of each candidate, against its weight.
+    fn loads(&self) -> Vec<f64> {
+        let mut loads = vec![0.0; self.candidates.len()];
+        for span in &self.spans {
+            if let Some(load) = span.place.and_then(|p| loads.get_mut(p)) {
+                *load += self.shares.of(span.from, span.to);
+            }
+        }
+        let weighed = loads.iter().zip(self.candidates);
+        weighed.map(|(l, c)| l / c.weight).collect()
+    }
+
+    fn releases(&self) -> Vec<Release> {
+        let moved = self.spans.iter().filter(|s| s.moved);
+        let release = |s: &Span| {
+            let next = self.candidates.get(s.place?)?;
+            Some(Release {
+                from: s.from,
+                to: s.to,
+                next: next.life.clone(),
+            })
+        };
+        moved.filter_map(release).collect()
+    }
+}
+
+fn coldest(loads: &[f64]) -> Option<usize> {
+    let loads = loads.iter().enumerate();
+    loads.min_by(|a, b| a.1.total_cmp(b.1)).map(|(i, _)| i)
+}
+
+fn hottest(loads: &[f64]) -> Option<usize> {
+    let loads = loads.iter().enumerate();
+    loads.max_by(|a, b| a.1.total_cmp(b.1)).map(|(i, _)| i)
+}
--- /dev/null
+++ b/src/fleet/store.rs
@@ -0,0 +1,193 @@
+//! The replicated store of backend servers, VMs and rows.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::model::{Life, Part, Server, Standing, Vm};
+use super::rows::{Assigned, Release, Rows};
+use crate::ids;
+
+/// Backend servers that are gone and still known, so that followers hear of their end.
+///
+/// More ends than this between two questions of a follower make it start anew.
+const KNOWN_GONE: usize = 256;
+
+/// One change of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// A VM is there, or at another address.
+    Vm(Vm),
+    /// A backend server announced itself, or something about itself.
+    Announce(Server),
+    /// A backend server stands otherwise than before.
+    Stand {
+        /// Which.
+        life: Life,
+        /// How.
+        standing: Standing,
+    },
+    /// Keys are to change hands.
+    Release {
+        /// Service.
+        service: ids::ServiceName,
+        /// Which keys, and to whom.
+        spans: Vec<Release>,
+    },
+    /// Keys have changed hands; the log position is their fence.
+    Assign {
+        /// Service.
+        service: ids::ServiceName,
+        /// New holder.
+        life: Life,
+        /// Which keys.
+        spans: Vec<Assigned>,
+    },
+}
+
+/// A value and the log position of its last change.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Dated<T> {
+    pub(super) value: T,
+    pub(super) changed: ids::LogIndex,
+}
+
+/// Backend servers, VMs and rows.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Store {
+    pub(super) servers: BTreeMap<ids::ServerName, Dated<Arc<Server>>>,
+    pub(super) vms: BTreeMap<ids::VmName, Dated<Vm>>,
+    pub(super) rows: BTreeMap<ids::ServiceName, Rows>,
+    /// Log position of the newest end that is no longer known.
+    pub(super) floor: ids::LogIndex,
+}
+
+impl Store {
+    /// A backend server that is not gone.
+    pub fn server(&self, name: &str) -> Option<&Arc<Server>> {
+        let server = &self.servers.get(name)?.value;
+        Some(server).filter(|s| s.standing != Standing::Gone)
+    }
+
+    /// The life, if it is the present one of its backend server and not gone.
+    pub fn life(&self, life: &Life) -> Option<&Arc<Server>> {
+        self.server(&life.server).filter(|s| s.life == *life)
+    }
+
+    /// Backend servers of a service that are not gone.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Server>> {
+        let servers = self.servers.values().map(|d| &d.value);
+        servers.filter(move |s| &*s.service == service && s.standing != Standing::Gone)
+    }
+
+    /// Rows of a service, if any key of it was ever named for a holder.
+    pub fn rows(&self, service: &str) -> Option<&Rows> {
+        self.rows.get(service)
+    }
+
+    /// The VMs.
+    pub fn vms(&self) -> impl Iterator<Item = &Vm> {
+        self.vms.values().map(|d| &d.value)
+    }
+
+    /// Number of VMs that serve callers.
+    pub fn entries(&self) -> usize {
+        self.vms().filter(|v| v.part == Part::Entry).count()
+    }
+
+    /// Makes a change; one that no longer fits changes nothing.
+    pub fn apply(&mut self, index: ids::LogIndex, change: Change) {
+        match change {
+            Change::Vm(vm) => {
+                let name = Arc::clone(&vm.name);
+                self.vms.retain(|n, d| *n == name || d.value.address != vm.address);
+                let dated = Dated {
+                    value: vm,
+                    changed: index,
+                };
+                self.vms.insert(name, dated);
+            }
+            Change::Announce(server) => self.announce(index, server),
+            Change::Stand { life, standing } => self.stand(index, &life, standing),
+            Change::Release { service, spans } => {
+                let rows = self.rows.entry(service).or_default();
+                spans.iter().for_each(|s| rows.release(index, s));
+            }
+            Change::Assign {
+                service,
+                life,
+                spans,
+            } => {
+                let rows = self.rows.entry(service).or_default();
+                spans.iter().for_each(|s| rows.assign(index, &life, s));
+            }
+        }
+    }
+
+    /// Takes in a backend server; whoever had its address before is gone.
+    fn announce(&mut self, index: ids::LogIndex, server: Server) {
+        let known = self.servers.get(&server.life.server);
+        if known.is_some_and(|k| k.value.life.born > server.life.born) {
+            return;
+        }
+        let same = known.is_some_and(|k| k.value.life == server.life);
+        let ended = known.is_some_and(|k| k.value.standing == Standing::Gone);
+        let younger = |other: &Server| other.life.born > server.life.born;
+        if (same && ended) || self.at(server.address, &server.life).any(younger) {
+            return;
+        }
+        let before: Vec<_> = self
+            .at(server.address, &server.life)
+            .map(|s| s.life.clone())
+            .collect();
+        for life in before {
+            self.stand(index, &life, Standing::Gone);
+        }
+        let dated = Dated {
+            changed: index,
+            value: Arc::new(server),
+        };
+        self.servers
+            .insert(Arc::clone(&dated.value.life.server), dated);
+    }
+
+    /// Other backend servers at an address.
+    fn at<'a>(&'a self, address: SocketAddr, life: &'a Life) -> impl Iterator<Item = &'a Server> {
+        let servers = self.servers.values().map(|d| &*d.value);
+        servers.filter(move |s| {
+            s.address == address && s.life.server != life.server && s.standing != Standing::Gone
+        })
+    }
+
+    fn stand(&mut self, index: ids::LogIndex, life: &Life, standing: Standing) {
+        let known = self.servers.get_mut(&life.server);
+        let Some(dated) = known.filter(|d| d.value.life == *life) else {
+            return;
+        };
+        if dated.value.standing == Standing::Gone {
+            return;
+        }
+        let mut server = Server::clone(&dated.value);
+        server.standing = standing;
+        dated.value = Arc::new(server);
+        dated.changed = index;
+        self.forget();
+    }
+
+    fn forget(&mut self) {
+        let gone = |d: &Dated<Arc<Server>>| d.value.standing == Standing::Gone;
+        if self.servers.values().filter(|d| gone(d)).count() <= KNOWN_GONE {
+            return;
+        }
+        let oldest = self.servers.iter().filter(|(_, d)| gone(d));
+        let Some((name, dated)) = oldest.min_by_key(|(_, d)| d.changed) else {
+            return;
+        };
+        self.floor = dated.changed;
+        let name = Arc::clone(name);
+        self.servers.remove(&name);
+    }
+}
--- /dev/null
+++ b/src/gateway/caller.rs
@@ -0,0 +1,420 @@
+//! One connection of a caller.
+//!
+//! Requests are read ahead and carried out side by side; answers go out in the
+//! order of their requests. When the caller leaves, the work for it is dropped,
+//! and with it the connections to backend servers.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream::{FuturesOrdered, StreamExt};
+use http::{HeaderValue, Method, StatusCode, Version, header, request};
+use monoio::net::TcpStream;
+use monoio::time;
+
+use super::Gate;
+use super::answer::{Answer, Held, Own, Rest};
+use super::exchange::{HELD_BYTES, Source};
+use super::request::{self as carry, Job};
+use crate::clock;
+use crate::table::Limits;
+use crate::web::decode::DecodeError;
+use crate::web::race::{self, Either};
+use crate::web::wire::{BodyReader, HeadLimits, Piece, RequestHead, Wire};
+
+/// Requests of one connection that are under way at a time.
+const AHEAD: usize = 16;
+
+/// Bytes that are read ahead while requests are under way.
+const AHEAD_BYTES: usize = 64 << 10;
+
+/// Longest time to write an answer to a caller that takes nothing.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest time to read a body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time added to the idle time that callers count on, so that they close first.
+const IDLE_SLACK: Duration = Duration::from_secs(2);
+
+/// Longest time to read on after the last answer, so that it is not lost to a reset.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Time that an idle connection stays open once this VM stops: until the
+/// balancer sends no more, a caller may send one more request on it.
+pub const LEAVE: Duration = Duration::from_millis(2500);
+
+/// An answer under way, and what the caller needs to know it by.
+struct Reply {
+    answer: Answer,
+    id: Option<HeaderValue>,
+    close: bool,
+}
+
+/// What came of waiting.
+enum Event {
+    Reply(Option<Reply>),
+    Read(std::io::Result<usize>),
+    Late,
+    Stopped,
+}
+
+/// What to do with the connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Then {
+    GoOn,
+    End,
+}
+
+/// Serves one connection until either end closes it.
+pub async fn serve(gate: Rc<Gate>, stream: TcpStream) {
+    let mut wire = Wire::new(stream);
+    let mut pending = FuturesOrdered::new();
+    let mut member = gate.stop.join();
+    let mut reading = true;
+    let mut since = clock::now();
+    let mut leaving: Option<Instant> = None;
+    loop {
+        let limits = Rc::clone(&gate.known.borrow().limits);
+        while reading && pending.len() < AHEAD {
+            match wire.request(head_limits(&limits)) {
+                Ok(None) => break,
+                Err(error) => {
+                    pending.push_back(run(Rc::clone(&gate), Err(error)));
+                    reading = false;
+                }
+                Ok(Some(head)) if head.body.is_done() => {
+                    reading = keeps_alive(&head.parts);
+                    let whole = Whole {
+                        parts: head.parts,
+                        body: Bytes::new(),
+                    };
+                    pending.push_back(run(Rc::clone(&gate), Ok(whole)));
+                }
+                Ok(Some(head)) => {
+                    // A body is read only when nothing before it is under way.
+                    while let Some(reply) = pending.next().await {
+                        if write(&gate, &mut wire, reply).await == Then::End {
+                            return;
+                        }
+                    }
+                    if with_body(&gate, &mut wire, head, &limits).await == Then::End {
+                        return;
+                    }
+                }
+            }
+            since = clock::now();
+        }
+        if pending.is_empty() && !reading {
+            return end(&mut wire).await;
+        }
+        let event = {
+            let ahead = wire.waiting() < AHEAD_BYTES;
+            let idle = pending.is_empty();
+            let limit = wait_limit(&wire, &limits, idle, since, leaving);
+            let work = async {
+                let reply = async {
+                    match idle {
+                        true => std::future::pending().await,
+                        false => pending.next().await,
+                    }
+                };
+                let read = async {
+                    match ahead {
+                        true => wire.fill().await,
+                        false => std::future::pending().await,
+                    }
+                };
+                let stopped = async {
+                    match leaving {
+                        None => member.stopped().await,
+                        Some(_) => std::future::pending().await,
+                    }
+                };
+                match race::race(pin!(race::race(pin!(reply), pin!(read))), pin!(stopped)).await {
+                    Either::First(Either::First(reply)) => Event::Reply(reply),
+                    Either::First(Either::Second(read)) => Event::Read(read),
+                    Either::Second(()) => Event::Stopped,
+                }
+            };
+            match time::timeout(limit, work).await {
+                Ok(event) => event,
+                Err(_) => Event::Late,
+            }
+        };
+        match event {
+            Event::Reply(Some(reply)) => {
+                if write(&gate, &mut wire, reply).await == Then::End {
+                    return;
+                }
+                since = clock::now();
+            }
+            Event::Reply(None) => {}
+            Event::Read(Ok(length)) if length > 0 => {
+                if wire.waiting() == length {
+                    since = clock::now();
+                }
+            }
+            Event::Read(_) => return,
+            Event::Stopped => leaving = Some(clock::now() + LEAVE),
+            Event::Late if !pending.is_empty() => {}
+            Event::Late if wire.waiting() > 0 => {
+                let own = Own::new(StatusCode::REQUEST_TIMEOUT, "the request took too long");
+                let reply = Reply {
+                    answer: Answer::Own(own),
+                    id: None,
+                    close: true,
+                };
+                write(&gate, &mut wire, reply).await;
+                return;
+            }
+            Event::Late => return,
+        }
+    }
+}
+
+/// How long to wait for anything to happen.
+fn wait_limit(
+    wire: &Wire,
+    limits: &Limits,
+    idle: bool,
+    since: Instant,
+    leaving: Option<Instant>,
+) -> Duration {
+    let until = match leaving {
+        _ if !idle => since + BODY_TIMEOUT,
+        _ if wire.waiting() > 0 => since + limits.head,
+        Some(leaving) => leaving,
+        None => since + limits.idle + IDLE_SLACK,
+    };
+    until.saturating_duration_since(clock::now())
+}
+
+/// A request whose body is there.
+struct Whole {
+    parts: request::Parts,
+    body: Bytes,
+}
+
+/// Carries out a request, or says why it is none.
+async fn run(gate: Rc<Gate>, request: Result<Whole, DecodeError>) -> Reply {
+    let Whole { parts, body } = match request {
+        Ok(whole) => whole,
+        Err(error) => return refuse(&error),
+    };
+    let close = !keeps_alive(&parts);
+    let id = parts.headers.get(&gate.names.request).cloned();
+    let answer = match Job::new(&gate, &parts) {
+        Ok(job) => job.run(body).await,
+        Err(own) => Answer::Own(own),
+    };
+    Reply { answer, id, close }
+}
+
+/// Reads the body of a request and carries it out.
+async fn with_body(gate: &Rc<Gate>, wire: &mut Wire, head: RequestHead, limits: &Limits) -> Then {
+    let RequestHead { parts, mut body } = head;
+    if expects_continue(&parts) && wire.waiting() == 0 {
+        let interim = b"HTTP/1.1 100 Continue\r\n\r\n".to_vec();
+        if wire.write(interim).await.is_err() {
+            return Then::End;
+        }
+    }
+    let read = time::timeout(BODY_TIMEOUT, read_body(wire, &mut body)).await;
+    let (first, done) = match read {
+        Ok(Ok(read)) => read,
+        Ok(Err(error)) => {
+            write(gate, wire, refuse(&error)).await;
+            return Then::End;
+        }
+        Err(_) => return Then::End,
+    };
+    if done {
+        let whole = Whole { parts, body: first };
+        let mut reply = pin!(run(Rc::clone(gate), Ok(whole)));
+        return match until_left(wire, reply.as_mut()).await {
+            Some(reply) => write(gate, wire, reply).await,
+            None => Then::End,
+        };
+    }
+    let close = !keeps_alive(&parts);
+    let id = parts.headers.get(&gate.names.request).cloned();
+    let held = first.len() as u64;
+    let answer = match Job::new(gate, &parts) {
+        Err(own) => Answer::Own(own),
+        Ok(job) => {
+            let source = Source {
+                first,
+                wire,
+                reader: &mut body,
+                length: carry::body_length(&parts.headers),
+                limit: limits.body_bytes.saturating_sub(held),
+            };
+            job.stream(source).await
+        }
+    };
+    let reply = Reply {
+        answer,
+        id,
+        close: close || !body.is_done(),
+    };
+    write(gate, wire, reply).await
+}
+
+/// Waits for work on behalf of a caller; `None` once the caller has left.
+async fn until_left<F>(wire: &mut Wire, mut work: std::pin::Pin<&mut F>) -> Option<F::Output>
+where
+    F: Future,
+{
+    loop {
+        if wire.waiting() >= AHEAD_BYTES {
+            return Some(work.await);
+        }
+        match race::race(work.as_mut(), pin!(wire.fill())).await {
+            Either::First(output) => return Some(output),
+            Either::Second(Ok(length)) if length > 0 => {}
+            Either::Second(_) => return None,
+        }
+    }
+}
+
+/// Reads a body to its end or as much as is held; whether that was the end.
+async fn read_body(wire: &mut Wire, body: &mut BodyReader) -> Result<(Bytes, bool), DecodeError> {
+    let mut held = BytesMut::new();
+    loop {
+        match wire.piece(body)? {
+            Piece::End => return Ok((held.freeze(), true)),
+            Piece::Data(data) => {
+                held.extend_from_slice(&data);
+                if held.len() > HELD_BYTES {
+                    return Ok((held.freeze(), false));
+                }
+            }
+            Piece::More => {
+                if wire.fill().await? == 0 {
+                    return Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof).into());
+                }
+            }
+        }
+    }
+}
+
+/// Writes an answer.
+async fn write(gate: &Gate, wire: &mut Wire, reply: Reply) -> Then {
+    let close = reply.close || gate.stop.is_stopping();
+    let (bytes, rest) = match reply.answer {
+        Answer::Own(own) => {
+            let id = reply.id.as_ref().map(|id| (&gate.names.request, id));
+            (own.encode(id, close), None)
+        }
+        Answer::Theirs(response) => {
+            let bytes = response.encode(close);
+            let rest = match response.body {
+                Held::Rest(rest) => Some(rest),
+                Held::None(_) | Held::Whole(_) => None,
+            };
+            (bytes, rest)
+        }
+    };
+    if !put(wire, bytes).await {
+        return Then::End;
+    }
+    if let Some(rest) = rest
+        && !pass(wire, *rest).await
+    {
+        return Then::End;
+    }
+    if close {
+        end(wire).await;
+        return Then::End;
+    }
+    Then::GoOn
+}
+
+/// Passes the rest of a body on; false if it did not come to its end.
+async fn pass(wire: &mut Wire, mut rest: Rest) -> bool {
+    loop {
+        let mut bytes = Vec::new();
+        match rest.wire.piece(&mut rest.reader) {
+            Ok(Piece::Data(data)) => {
+                rest.put(&mut bytes, &data);
+                if !put(wire, bytes).await {
+                    return false;
+                }
+            }
+            Ok(Piece::End) => {
+                rest.put_end(&mut bytes);
+                return put(wire, bytes).await;
+            }
+            Ok(Piece::More) => {
+                let ends = rest.reader == BodyReader::UntilEnd;
+                let filled = {
+                    let mut fill = pin!(rest.wire.fill());
+                    until_left(wire, fill.as_mut()).await
+                };
+                match filled {
+                    Some(Ok(0)) if ends => rest.reader = BodyReader::Done,
+                    Some(Ok(length)) if length > 0 => {}
+                    Some(_) | None => return false,
+                }
+            }
+            Err(_) => return false,
+        }
+    }
+}
+
+async fn put(wire: &mut Wire, bytes: Vec<u8>) -> bool {
+    matches!(time::timeout(WRITE_TIMEOUT, wire.write(bytes)).await, Ok(Ok(())))
+}
+
+/// Ends a connection so that the last answer arrives.
+async fn end(wire: &mut Wire) {
+    if wire.shutdown().await.is_ok() {
+        wire.linger(LINGER).await;
+    }
+}
+
+fn refuse(error: &DecodeError) -> Reply {
+    let own = match error {
+        DecodeError::HeadTooLarge => Own::new(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "the head is too large",
+        ),
+        DecodeError::BodyTooLarge => {
+            Own::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+        }
+        DecodeError::Malformed(reason) => Own::new(StatusCode::BAD_REQUEST, reason),
+        DecodeError::Io(_) => Own::new(StatusCode::BAD_REQUEST, "the request broke off"),
+    };
+    log::info!("event=gateway.malformed reason={:?}", own.reason);
+    Reply {
+        answer: Answer::Own(own),
+        id: None,
+        close: true,
+    }
+}
+
+fn head_limits(limits: &Limits) -> HeadLimits {
+    HeadLimits {
+        head_bytes: limits.head_bytes,
+        body_bytes: limits.body_bytes,
+    }
+}
+
+fn expects_continue(parts: &request::Parts) -> bool {
+    let expect = parts.headers.get(header::EXPECT);
+    expect.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
+/// Whether the caller keeps its connection open after a request.
+fn keeps_alive(parts: &request::Parts) -> bool {
+    let values = parts.headers.get_all(header::CONNECTION).iter();
+    let mut words = values.filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
+    match parts.version {
+        _ if parts.method == Method::CONNECT => false,
+        Version::HTTP_11 => !words.any(|w| w.trim().eq_ignore_ascii_case("close")),
+        _ => words.any(|w| w.trim().eq_ignore_ascii_case("keep-alive")),
+    }
+}
--- /dev/null
+++ b/src/gateway/choose.rs
@@ -0,0 +1,76 @@
+//! Which backend server a request is offered to.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::backend::Backend;
+
+/// What a backend server in another zone costs more, in requests of average length:
+/// bytes between zones are dear, waiting behind others is dearer.
+const OTHER_ZONE: f64 = 0.6;
+
+/// How much a server that is nearly full is slower than one with free slots.
+const CROWDED: f64 = 0.35;
+
+/// What a failure costs, in requests of average length.
+const FAULT: f64 = 4.0;
+
+/// Part by which equal costs are drawn apart, so that entry VMs don't all choose alike.
+const DRAWN: f64 = 0.08;
+
+/// Requests for each slot from which on a server gets no more of them.
+const FULL: f64 = 2.5;
+
+/// How long a server may leave requests without any answer before others go elsewhere.
+const SILENT: Duration = Duration::from_millis(1500);
+
+/// What is known about the others that want the same.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms<'a> {
+    /// Zone of this VM.
+    pub zone: &'a str,
+    /// Requests that this VM may have under way at one backend server.
+    pub connections: u32,
+    /// Now.
+    pub now: Instant,
+}
+
+/// The backend server with the least expected cost that is not among `tried`.
+///
+/// Servers that rest after failures are taken only if there is no other.
+pub fn choose(backends: &[Rc<Backend>], tried: &[Rc<Backend>], terms: &Terms<'_>) -> Option<Rc<Backend>> {
+    let untried = |b: &&Rc<Backend>| !tried.iter().any(|t| Rc::ptr_eq(t, b));
+    let open = |b: &&Rc<Backend>| b.is_ready() && has_room(b, terms);
+    let fit = |b: &&Rc<Backend>| !b.is_resting(terms.now) && b.silence(terms.now) < SILENT;
+    let usable = || backends.iter().filter(untried).filter(open);
+    least(usable().filter(fit), terms).or_else(|| least(usable(), terms))
+}
+
+/// Whether a backend server can take another request.
+pub fn has_room(backend: &Backend, terms: &Terms<'_>) -> bool {
+    let slots = f64::from(backend.server().slots.max(1));
+    backend.in_flight() < terms.connections && backend.load(terms.now) < slots * FULL
+}
+
+fn least<'a, I>(backends: I, terms: &Terms<'_>) -> Option<Rc<Backend>>
+where
+    I: Iterator<Item = &'a Rc<Backend>>,
+{
+    let costs = backends.map(|b| {
+        let drawn = 1.0 + DRAWN * fastrand::f64();
+        (cost(b, terms) * drawn, b)
+    });
+    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+    best.map(|(_, b)| Rc::clone(b))
+}
+
+/// Expected time of a request there, in requests of average length.
+pub fn cost(backend: &Backend, terms: &Terms<'_>) -> f64 {
+    let server = backend.server();
+    let slots = f64::from(server.slots.max(1));
+    let load = backend.load(terms.now) / slots;
+    let ahead = backend.load(terms.now) + 1.0;
+    let wait = (ahead / slots).max(1.0) + CROWDED * load * load;
+    let zone = if *server.zone == *terms.zone { 0.0 } else { OTHER_ZONE };
+    backend.pace(terms.now) * wait + zone + FAULT * backend.faults()
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,114 @@
+//! Following what the control VMs know.
+//!
+//! One question at a time is open at one control VM, of the own zone if there
+//! is one. A VM that does not answer, or knows less than what is known here, is
+//! left for the next; what is known stays in force until somebody knows more.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Gate;
+use crate::fleet::front::POLL_HOLD;
+use crate::fleet::news::{self, News, Poll};
+use crate::fleet::{Part, Vm};
+use crate::rpc;
+use crate::timeline::{Event, Journal};
+
+/// Wait for an answer beyond the time that a question is held open.
+const SLACK: Duration = Duration::from_millis(300);
+
+/// Pause after a control VM that did not answer.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Seeds as addresses for calls between processes.
+pub type Seeds = Rc<RefCell<Vec<SocketAddr>>>;
+
+/// Follows the control VMs, for ever.
+pub async fn run(gate: Rc<Gate>, own: Vm, seeds: Seeds, journal: Journal) {
+    let mut peers = BTreeMap::new();
+    let mut current: Option<SocketAddr> = None;
+    let mut lost = false;
+    loop {
+        let address = match current.or_else(|| first(&gate, &own, &seeds)) {
+            Some(address) => address,
+            None => {
+                monoio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        let peer = peers
+            .entry(address)
+            .or_insert_with(|| rpc::Peer::new(address, journal.clone()));
+        match ask(&gate, &own, peer).await {
+            Ok(news) => {
+                if lost || current.is_none() {
+                    let detail = format!("{address} index {}", news.index);
+                    journal.record(Event::new("gateway.follows").detail(&detail));
+                }
+                lost = false;
+                current = Some(address);
+                if !take(&gate, news) {
+                    current = next(&gate, &own, &seeds, address);
+                }
+            }
+            Err(error) => {
+                if !lost {
+                    let detail = format!("{address} {error}");
+                    journal.record(Event::new("gateway.lost").detail(&detail));
+                }
+                lost = true;
+                current = next(&gate, &own, &seeds, address);
+                monoio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn ask(gate: &Gate, own: &Vm, peer: &rpc::Peer) -> Result<News, rpc::CallError> {
+    let poll = Poll {
+        vm: own.clone(),
+        have: gate.known.borrow().index,
+        loads: gate.loads.borrow_mut().drain(),
+    };
+    peer.call(news::POLL, &poll, POLL_HOLD + SLACK).await
+}
+
+/// Takes news in; false if they are older than what is known.
+fn take(gate: &Gate, news: News) -> bool {
+    let empty = news.is_empty();
+    let taken = gate.known.borrow_mut().take(news);
+    if taken && !empty {
+        gate.changed.wake();
+    }
+    taken
+}
+
+/// The control VM to ask first.
+fn first(gate: &Gate, own: &Vm, seeds: &Seeds) -> Option<SocketAddr> {
+    all(gate, own, seeds).first().copied()
+}
+
+/// The control VM to ask after `address`.
+fn next(gate: &Gate, own: &Vm, seeds: &Seeds, address: SocketAddr) -> Option<SocketAddr> {
+    let all = all(gate, own, seeds);
+    let at = all.iter().position(|a| *a == address);
+    let following = at.and_then(|i| all.get(i + 1)).or_else(|| all.first());
+    following.copied()
+}
+
+/// All control VMs: those of the own zone, the others, and the seeds.
+fn all(gate: &Gate, own: &Vm, seeds: &Seeds) -> Vec<SocketAddr> {
+    let known = gate.known.borrow();
+    let controls = known.vms.iter().filter(|v| v.part == Part::Control);
+    let (near, far): (Vec<_>, Vec<_>) = controls.partition(|v| v.zone == own.zone);
+    let mut addresses: Vec<_> = near.iter().chain(&far).map(|v| v.address).collect();
+    for seed in seeds.borrow().iter() {
+        if !addresses.contains(seed) {
+            addresses.push(*seed);
+        }
+    }
+    addresses
+}
--- /dev/null
+++ b/src/gateway/head.rs
@@ -0,0 +1,189 @@
+//! Heads of messages on their way through.
+//!
+//! Methods, paths, statuses and headers pass unchanged, but for the headers
+//! that concern one connection only and those that this VM sets itself.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header, request};
+
+use crate::clock;
+use crate::fleet::Key;
+
+/// Headers that carry what callers, entry VMs and backend servers tell each other.
+#[derive(Clone, Debug)]
+pub struct Names {
+    /// Id of a request; the answer repeats it.
+    pub request: HeaderName,
+    /// Milliseconds that the sender will wait.
+    pub deadline: HeaderName,
+    /// The only backend server that is to run the request.
+    pub expected: HeaderName,
+    /// A backend server's mark on its answer.
+    pub signature: HeaderName,
+    /// Says that the request was not run.
+    pub refused: HeaderName,
+    /// Requests that run, requests that wait, and slots of a backend server.
+    pub load: HeaderName,
+    /// Key of a request.
+    pub key: HeaderName,
+}
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// A request head to be sent to backend servers, but for what differs with each.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// The head without its last line.
+    text: Vec<u8>,
+    /// Whether the answer has no body.
+    pub bodiless: bool,
+    /// Id of the request, if it has one.
+    pub id: Option<HeaderValue>,
+}
+
+impl Outgoing {
+    /// The head of a request as it came.
+    pub fn new(parts: &request::Parts, names: &Names) -> Self {
+        let mut text = Vec::with_capacity(512);
+        text.extend_from_slice(parts.method.as_str().as_bytes());
+        text.push(b' ');
+        let path = parts.uri.path_and_query();
+        text.extend_from_slice(path.map_or("/", |p| p.as_str()).as_bytes());
+        text.extend_from_slice(b" HTTP/1.1\r\n");
+        let own = [&names.deadline, &names.expected, &header::CONTENT_LENGTH, &header::EXPECT];
+        put_headers(&mut text, &parts.headers, |name| own.contains(&name));
+        Self {
+            text,
+            bodiless: parts.method == http::Method::HEAD,
+            id: parts.headers.get(&names.request).cloned(),
+        }
+    }
+
+    /// The head for one backend server; `length` of the body, `None` for chunks.
+    pub fn encode(
+        &self,
+        names: &Names,
+        server: &str,
+        left: Duration,
+        length: Option<usize>,
+    ) -> Vec<u8> {
+        let mut text = self.text.clone();
+        let mut own = String::new();
+        let millis = clock::as_ms(left);
+        // Writing to a string can't fail.
+        let _ = write!(own, "{}: {millis}\r\n{}: {server}\r\n", names.deadline, names.expected);
+        match length {
+            Some(0) => {}
+            Some(length) => {
+                let _ = write!(own, "content-length: {length}\r\n");
+            }
+            None => own.push_str("transfer-encoding: chunked\r\n"),
+        }
+        own.push_str("\r\n");
+        text.extend_from_slice(own.as_bytes());
+        text
+    }
+}
+
+/// How the body of an answer is framed for the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// No body, and no length of one.
+    None,
+    /// So many bytes.
+    Length(u64),
+    /// Chunks.
+    Chunked,
+}
+
+/// Head of an answer to a caller.
+pub fn answer(status: StatusCode, headers: &HeaderMap, framing: Framing, close: bool) -> Vec<u8> {
+    let mut text = Vec::with_capacity(512);
+    let reason = status.canonical_reason().unwrap_or("Other");
+    text.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_str()).as_bytes());
+    put_headers(&mut text, headers, |name| *name == header::CONTENT_LENGTH);
+    let framing = match framing {
+        Framing::None => String::new(),
+        Framing::Length(length) => format!("content-length: {length}\r\n"),
+        Framing::Chunked => "transfer-encoding: chunked\r\n".to_owned(),
+    };
+    text.extend_from_slice(framing.as_bytes());
+    if close {
+        text.extend_from_slice(b"connection: close\r\n");
+    }
+    text.extend_from_slice(b"\r\n");
+    text
+}
+
+/// Writes headers that concern more than one connection and are not to be left out.
+fn put_headers<F>(text: &mut Vec<u8>, headers: &HeaderMap, left_out: F)
+where
+    F: Fn(&HeaderName) -> bool,
+{
+    let named = connection_names(headers);
+    for (name, value) in headers {
+        let hop = HOP_HEADERS.contains(name) || named.iter().any(|n| n == name.as_str());
+        if hop || left_out(name) {
+            continue;
+        }
+        text.extend_from_slice(name.as_str().as_bytes());
+        text.extend_from_slice(b": ");
+        text.extend_from_slice(value.as_bytes());
+        text.extend_from_slice(b"\r\n");
+    }
+}
+
+/// Headers that a message itself binds to its connection.
+fn connection_names(headers: &HeaderMap) -> Vec<String> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let words = values.filter_map(|v| v.to_str().ok()).flat_map(|v| v.split(','));
+    let names = words.map(|w| w.trim().to_ascii_lowercase());
+    names.filter(|n| !n.is_empty()).collect()
+}
+
+/// A header that holds a number.
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Key of a request, if it has one.
+pub fn key(headers: &HeaderMap, names: &Names) -> Option<Key> {
+    headers.get(&names.key)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Load of a backend server as its answer tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadTold {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// Load that an answer tells, if it does.
+pub fn load(headers: &HeaderMap, names: &Names) -> Option<LoadTold> {
+    let mut parts = headers.get(&names.load)?.to_str().ok()?.split(',');
+    let mut next = || parts.next()?.trim().parse().ok();
+    Some(LoadTold {
+        running: next()?,
+        waiting: next()?,
+    })
+}
+
+/// Time that the sender of an answer keeps its connection open, if it says so.
+pub fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value.split(',').find_map(|p| p.trim().strip_prefix("timeout="));
+    timeout?.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/src/gateway/known.rs
@@ -0,0 +1,137 @@
+//! What an entry VM knows from the control VMs.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use super::backend::Backend;
+use crate::fleet::news::News;
+use crate::fleet::{Key, Part, Row, Server, Standing, Vm};
+use crate::ids;
+use crate::table;
+
+/// Table, backend servers, rows and VMs as of a log position.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// Log position.
+    pub index: ids::LogIndex,
+    /// The table, once there is one.
+    pub table: Option<Arc<table::Table>>,
+    /// Its routes.
+    pub lookup: table::Lookup,
+    /// Its limits for callers.
+    pub limits: Rc<table::Limits>,
+    /// All VMs.
+    pub vms: Vec<Vm>,
+    backends: HashMap<ids::ServerName, Rc<Backend>>,
+    services: HashMap<ids::ServiceName, Vec<Rc<Backend>>>,
+    rows: HashMap<ids::ServiceName, Vec<Row>>,
+    /// Time that the requests of each route take, in seconds.
+    pub(super) works: HashMap<table::model::RouteName, f64>,
+}
+
+/// Who holds a key.
+#[derive(Clone, Debug)]
+pub enum Holder {
+    /// This backend server.
+    Backend(Rc<Backend>),
+    /// It is about to have another holder.
+    Moving,
+    /// Nobody that is known.
+    Nobody,
+}
+
+impl Known {
+    /// Takes in news; false if they are older than what is known.
+    pub fn take(&mut self, news: News) -> bool {
+        if news.index < self.index {
+            return false;
+        }
+        self.index = news.index;
+        if let Some(table) = news.table {
+            self.lookup = table::Lookup::new(&table);
+            self.limits = Rc::new(table.limits.clone());
+            self.table = Some(table);
+        }
+        if news.whole {
+            let names: Vec<_> = news.servers.iter().map(|s| &s.life.server).collect();
+            self.backends.retain(|name, _| names.contains(&name));
+        }
+        let changed = news.whole || !news.servers.is_empty();
+        for server in news.servers {
+            self.put(server);
+        }
+        if changed {
+            self.arrange();
+        }
+        for holders in news.holders {
+            self.rows.insert(holders.service, holders.rows);
+        }
+        if !news.vms.is_empty() {
+            self.vms = news.vms;
+        }
+        true
+    }
+
+    /// VMs that serve callers, this one included.
+    pub fn entries(&self) -> usize {
+        let entries = self.vms.iter().filter(|v| v.part == Part::Entry);
+        entries.count().max(1)
+    }
+
+    /// A service of the table.
+    pub fn service(&self, name: &str) -> Option<&Arc<table::Service>> {
+        let mut services = self.table.iter().flat_map(|t| &t.services);
+        services.find(|s| &*s.name == name)
+    }
+
+    /// Backend servers of a service.
+    pub fn backends(&self, service: &str) -> &[Rc<Backend>] {
+        self.services.get(service).map_or(&[], |b| b)
+    }
+
+    /// All backend servers.
+    pub fn all(&self) -> impl Iterator<Item = &Rc<Backend>> {
+        self.backends.values()
+    }
+
+    /// Who holds a key of a service.
+    pub fn holder(&self, service: &str, key: Key) -> Holder {
+        let rows = self.rows.get(service).map_or(&[][..], |r| r);
+        let at = rows.partition_point(|r| r.to < key);
+        let row = rows.get(at).filter(|r| r.from <= key);
+        let life = row.and_then(|r| r.holder.as_ref());
+        let backend = life.and_then(|l| {
+            let backend = self.backends.get(&l.server)?;
+            Some(backend).filter(|b| b.server().life == *l)
+        });
+        match (row, backend) {
+            (Some(row), _) if row.next.is_some() => Holder::Moving,
+            (_, Some(backend)) => Holder::Backend(Rc::clone(backend)),
+            _ => Holder::Nobody,
+        }
+    }
+
+    fn put(&mut self, server: Arc<Server>) {
+        let name = Arc::clone(&server.life.server);
+        if server.standing == Standing::Gone {
+            self.backends.remove(&name);
+            return;
+        }
+        match self.backends.get(&name) {
+            Some(known) if known.server().life == server.life => known.update(server),
+            _ => {
+                self.backends.insert(name, Backend::new(server));
+            }
+        }
+    }
+
+    fn arrange(&mut self) {
+        self.services.clear();
+        for backend in self.backends.values() {
+            let service = Arc::clone(&backend.server().service);
+            let list = self.services.entry(service).or_default();
+            list.push(Rc::clone(backend));
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,407 @@
+//! One request from its route to its final answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode, header, request, uri};
+
+use super::answer::{Answer, Held, Own, Response};
+use super::backend::Backend;
+use super::choose::{self, Terms};
+use super::exchange::{self, Body, Outcome, Sending, Source};
+use super::head::{self, Outgoing};
+use super::known::Holder;
+use super::{Gate, count};
+use crate::clock;
+use crate::fleet::Key;
+use crate::fleet::balance;
+use crate::fleet::messages::Load;
+use crate::ids;
+use crate::table::lookup;
+use crate::table::{Repeat, Route};
+
+/// Part of the objective that a request without a backend server to go to waits for one.
+const ROOM_PART: f64 = 0.12;
+
+/// Part of the objective that a request waits for its key to have a holder:
+/// what a move takes is far less than what coming back takes.
+const MOVE_PART: f64 = 0.6;
+
+/// Longest wait for news before a server that said "elsewhere" is asked again.
+const ELSEWHERE_WAIT: Duration = Duration::from_millis(120);
+
+/// Time between looks for room.
+const ROOM_LOOK: Duration = Duration::from_millis(15);
+
+/// When to come back if all were full: some requests' time.
+const FULL_AFTER: Duration = Duration::from_millis(250);
+
+/// When to come back if a key is moving: about a heartbeat.
+const MOVE_AFTER: Duration = Duration::from_millis(400);
+
+/// When to come back if nobody can be reached.
+const DARK_AFTER: Duration = Duration::from_secs(1);
+
+/// Backend servers that are tried without anything being sent.
+const UNREACHED: u32 = 3;
+
+/// How lately a kept connection must have answered to be used for a request that must run once:
+/// one that was idle for long may be forgotten at its other end.
+const KEPT_ONCE: Duration = Duration::from_secs(2);
+
+/// The same for a request that may be repeated.
+const KEPT: Duration = Duration::from_secs(60);
+
+/// Weight of the newest sample in the time that a route takes.
+const NEWEST: f64 = 0.05;
+
+/// Smallest part of a connection limit that an entry VM takes, so that it can work at all.
+const CONNECTIONS: u32 = 2;
+
+/// A request that has a route.
+pub struct Job {
+    gate: Rc<Gate>,
+    route: Arc<Route>,
+    service: ids::ServiceName,
+    key: Option<Key>,
+    head: Outgoing,
+    arrived: Instant,
+    deadline: Instant,
+}
+
+/// What was tried so far.
+#[derive(Default)]
+struct Tries {
+    tried: Vec<Rc<Backend>>,
+    /// Requests that arrived at a backend server, or may have.
+    sent: u32,
+    unreached: u32,
+    /// Whether one of them may have run.
+    may_have_run: bool,
+    timed_out: bool,
+    /// Whether all that refused had no room.
+    full: bool,
+    /// A failure of a backend server, kept in case nothing better comes.
+    spare: Option<Response>,
+}
+
+impl Job {
+    /// Finds the route of a request, or says why there is none.
+    ///
+    /// # Errors
+    ///
+    /// The answer for the caller.
+    pub fn new(gate: &Rc<Gate>, parts: &request::Parts) -> Result<Self, Own> {
+        let arrived = clock::now();
+        let known = gate.known.borrow();
+        if known.table.is_none() {
+            return Err(Own::later(DARK_AFTER, "no routes are known yet"));
+        }
+        let path = parts.uri.path();
+        let host = host(parts);
+        let route = host.and_then(|h| known.lookup.find(h, path));
+        let route = route.ok_or(Own::new(StatusCode::NOT_FOUND, "no such route"))?;
+        let service = lookup::service(route, fastrand::f64());
+        let service = service.ok_or(Own::later(DARK_AFTER, "the route leads nowhere"))?;
+        let owned = known.service(service).is_some_and(|s| s.owned);
+        let key = head::key(&parts.headers, &gate.names);
+        if owned && key.is_none() {
+            return Err(Own::new(StatusCode::BAD_REQUEST, "the request has no key"));
+        }
+        let told = head::number(&parts.headers, &gate.names.deadline);
+        let wait = told.map_or(route.timeout, Duration::from_millis);
+        Ok(Self {
+            gate: Rc::clone(gate),
+            route: Arc::clone(route),
+            service: Arc::clone(service),
+            key: key.filter(|_| owned),
+            head: Outgoing::new(parts, &gate.names),
+            arrived,
+            deadline: arrived + wait.min(route.timeout),
+        })
+    }
+
+    /// Carries out a request whose body is there.
+    pub async fn run(self, body: Bytes) -> Answer {
+        self.count();
+        let mut tries = Tries {
+            full: true,
+            ..Tries::default()
+        };
+        loop {
+            let Some(backend) = self.find(&tries).await else {
+                return self.give_up(tries);
+            };
+            if tries.sent > 0 && !self.may_repeat(&tries) {
+                return self.give_up(tries);
+            }
+            let sent = clock::now();
+            let load = backend.load(sent);
+            let sending = self.sending();
+            let body = Body::Whole(body.clone());
+            let outcome = exchange::exchange(&backend, &sending, body).await;
+            match self.judge(&backend, outcome, &mut tries, sent, load) {
+                Some(answer) => return answer,
+                None if self.key.is_some() => self.wait_for_holder(&tries).await,
+                None => {}
+            }
+        }
+    }
+
+    /// Carries out a request whose body still arrives; what was sent is not sent again.
+    pub async fn stream(self, mut source: Source<'_>) -> Answer {
+        self.count();
+        let mut tries = Tries::default();
+        let Some(backend) = self.find(&tries).await else {
+            return self.give_up(tries);
+        };
+        let sent = clock::now();
+        let load = backend.load(sent);
+        let sending = self.sending();
+        let body = Body::Stream(Source {
+            first: std::mem::take(&mut source.first),
+            ..source
+        });
+        let outcome = exchange::exchange(&backend, &sending, body).await;
+        let answer = self.judge(&backend, outcome, &mut tries, sent, load);
+        answer.unwrap_or_else(|| self.give_up(tries))
+    }
+
+    fn sending(&self) -> Sending<'_> {
+        Sending {
+            names: &self.gate.names,
+            head: &self.head,
+            deadline: self.deadline,
+            kept: match self.route.repeat {
+                Repeat::Once => KEPT_ONCE,
+                Repeat::Idempotent => KEPT,
+            },
+        }
+    }
+
+    fn count(&self) {
+        let mut budget = self.gate.budget.borrow_mut();
+        budget.request(&self.service, self.arrived);
+        if let Some(key) = self.key {
+            self.gate.loads.borrow_mut().add(&Load {
+                service: Arc::clone(&self.service),
+                bucket: balance::bucket(key),
+                count: 1,
+            });
+        }
+    }
+
+    /// Takes in an outcome; the final answer, if this is it.
+    fn judge(
+        &self,
+        backend: &Rc<Backend>,
+        outcome: Outcome,
+        tries: &mut Tries,
+        sent: Instant,
+        load: f64,
+    ) -> Option<Answer> {
+        let once = self.route.repeat == Repeat::Once;
+        if !matches!(outcome, Outcome::NotSent(_)) {
+            tries.sent += 1;
+        }
+        match outcome {
+            Outcome::Answered(response) => {
+                let failed = response.status.is_server_error();
+                let took = self.took(backend, sent, load, failed);
+                let told = head::load(&response.headers, &self.gate.names);
+                backend.answered(took, told, failed);
+                if !failed || once || matches!(response.body, Held::Rest(_)) {
+                    return Some(self.done(response));
+                }
+                tries.spare = Some(response);
+            }
+            Outcome::Full => {
+                backend.answered(None, None, false);
+                backend.full(backend.server().slots);
+            }
+            Outcome::Elsewhere => {
+                backend.answered(None, None, false);
+                tries.full = false;
+            }
+            Outcome::NotSent(reason) => {
+                self.tell(backend, "not_sent", reason);
+                backend.failed();
+                tries.unreached += 1;
+                tries.full = false;
+            }
+            Outcome::Broken(reason) => {
+                self.tell(backend, "broken", reason);
+                backend.failed();
+                tries.may_have_run = true;
+            }
+            Outcome::TimedOut => {
+                self.tell(backend, "timed_out", "no answer in time");
+                backend.failed();
+                tries.may_have_run = true;
+                tries.timed_out = true;
+            }
+        }
+        tries.tried.push(Rc::clone(backend));
+        let over = clock::now() >= self.deadline || tries.unreached >= UNREACHED;
+        if over || (once && tries.may_have_run) {
+            return Some(self.give_up(std::mem::take(tries)));
+        }
+        None
+    }
+
+    /// Time of a request against what its route takes, as if nobody else had been there.
+    fn took(&self, backend: &Backend, sent: Instant, load: f64, failed: bool) -> Option<f64> {
+        if failed {
+            return None;
+        }
+        let took = clock::now().saturating_duration_since(sent).as_secs_f64();
+        let slots = f64::from(backend.server().slots.max(1));
+        let alone = took / ((load + 1.0) / slots).max(1.0);
+        let mut known = self.gate.known.borrow_mut();
+        let usual = known.works.entry(Arc::clone(&self.route.name)).or_insert(alone);
+        *usual = *usual * (1.0 - NEWEST) + alone * NEWEST;
+        Some((alone / usual.max(0.001)).min(8.0))
+    }
+
+    /// Whether the request may be sent to one more backend server.
+    fn may_repeat(&self, tries: &Tries) -> bool {
+        let entries = self.gate.known.borrow().entries();
+        let mut budget = self.gate.budget.borrow_mut();
+        let may = tries.sent < self.route.attempts
+            && budget.spend(&self.service, entries, clock::now());
+        if may {
+            count(&self.gate.counts.repeated);
+        }
+        may
+    }
+
+    /// A backend server to send to, once there is one.
+    async fn find(&self, tries: &Tries) -> Option<Rc<Backend>> {
+        match self.key {
+            Some(key) => self.find_holder(key).await,
+            None => self.find_any(tries).await,
+        }
+    }
+
+    async fn find_any(&self, tries: &Tries) -> Option<Rc<Backend>> {
+        let until = self.arrived + self.route.objective.mul_f64(ROOM_PART);
+        loop {
+            let chosen = {
+                let known = self.gate.known.borrow();
+                let backends = known.backends(&self.service);
+                choose::choose(backends, &tries.tried, &self.terms(&known))
+            };
+            if chosen.is_some() || clock::now() >= until.min(self.deadline) {
+                return chosen;
+            }
+            monoio::time::sleep(ROOM_LOOK).await;
+        }
+    }
+
+    async fn find_holder(&self, key: Key) -> Option<Rc<Backend>> {
+        let until = self.arrived + self.route.objective.mul_f64(MOVE_PART);
+        loop {
+            let now = clock::now();
+            let holder = {
+                let known = self.gate.known.borrow();
+                match known.holder(&self.service, key) {
+                    Holder::Backend(b) if b.is_resting(now) => return None,
+                    Holder::Backend(b) if b.is_ready() => {
+                        choose::has_room(&b, &self.terms(&known)).then_some(b)
+                    }
+                    Holder::Backend(_) | Holder::Moving | Holder::Nobody => None,
+                }
+            };
+            let left = until.min(self.deadline).saturating_duration_since(now);
+            if holder.is_some() || left.is_zero() {
+                return holder;
+            }
+            self.gate.changed.wait(left.min(ROOM_LOOK * 4)).await;
+        }
+    }
+
+    /// Gives news a moment to arrive after the holder of a key did not run a request.
+    async fn wait_for_holder(&self, tries: &Tries) {
+        let left = self.deadline.saturating_duration_since(clock::now());
+        if tries.sent < self.route.attempts {
+            self.gate.changed.wait(left.min(ELSEWHERE_WAIT)).await;
+        }
+    }
+
+    fn terms(&self, known: &super::known::Known) -> Terms<'_> {
+        let limit = known.service(&self.service).map_or(1, |s| s.connections);
+        let entries = u32::try_from(known.entries()).unwrap_or(u32::MAX);
+        Terms {
+            zone: &self.gate.zone,
+            connections: (limit / entries).max(CONNECTIONS),
+            now: clock::now(),
+        }
+    }
+
+    fn done(&self, response: Response) -> Answer {
+        count(&self.gate.counts.answered);
+        Answer::Theirs(response)
+    }
+
+    /// The final answer when nothing more is tried.
+    fn give_up(&self, tries: Tries) -> Answer {
+        if let Some(response) = tries.spare {
+            return self.done(response);
+        }
+        count(&self.gate.counts.refused);
+        let own = match &tries {
+            Tries { may_have_run: true, timed_out: true, .. } => {
+                Own::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+            }
+            Tries { may_have_run: true, .. } => {
+                Own::new(StatusCode::BAD_GATEWAY, "no whole answer")
+            }
+            _ if self.key.is_some() => Own::later(MOVE_AFTER, "the key has no holder now"),
+            Tries { full: true, .. } => Own::later(FULL_AFTER, "no room"),
+            _ => Own::later(DARK_AFTER, "no backend server can be reached"),
+        };
+        log::info!(
+            "event=gateway.refused id={:?} route={:?} service={:?} key={:?} status={} sent={} \
+             unreached={} held_ms={} reason={:?}",
+            self.head.id,
+            self.route.name,
+            self.service,
+            self.key,
+            own.status.as_u16(),
+            tries.sent,
+            tries.unreached,
+            clock::now().saturating_duration_since(self.arrived).as_millis(),
+            own.reason,
+        );
+        Answer::Own(own)
+    }
+
+    fn tell(&self, backend: &Backend, kind: &str, reason: &str) {
+        log::info!(
+            "event=gateway.try id={:?} route={:?} key={:?} server={:?} outcome={kind} reason={reason:?}",
+            self.head.id,
+            self.route.name,
+            self.key,
+            backend.server().life.server,
+        );
+    }
+
+    /// Headers by which the caller knows its answer.
+    pub fn id(&self) -> Option<&http::HeaderValue> {
+        self.head.id.as_ref()
+    }
+}
+
+/// Host that a request is for, without a port.
+fn host(parts: &request::Parts) -> Option<&str> {
+    let header = parts.headers.get(header::HOST).and_then(|h| h.to_str().ok());
+    let host = header.or_else(|| parts.uri.authority().map(uri::Authority::as_str))?;
+    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+}
+
+/// Length of a request's body, if it is named.
+pub fn body_length(headers: &HeaderMap) -> Option<u64> {
+    head::number(headers, &header::CONTENT_LENGTH)
+}
--- a/src/log/election.rs
+++ b/src/log/election.rs
@@ -32,7 +32,7 @@
         if is_due(&node) {
             campaign(&node, false).await;
             let mut state = node.state_mut();
-            state.patience = state::patience();
+            state.patience = state::patience(state.election);
             if state.role != Role::Leader && state.leader.is_none() {
                 state.heard = clock::now();
             }
--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -1,6 +1,7 @@
 //! What other slices do with the log.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -126,6 +127,29 @@
         state.led.filter(|_| state.hears_majority())
     }
 
+    /// Whether a leader was heard lately, or this VM leads with a majority.
+    ///
+    /// What is applied here is then at most a few heartbeats old.
+    pub fn is_current(&self) -> bool {
+        let state = self.node.state();
+        state.has_leader() && !state.stopped
+    }
+
+    /// Address of the leader, if another VM is known to lead.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        members::leader_of(&self.node.state())
+    }
+
+    /// Names the VMs to ask when this disk has no seat.
+    pub fn ask(&self, roster: Vec<Member>) {
+        *self.node.roster.borrow_mut() = roster;
+    }
+
+    /// Whether the log has stopped on this VM, as after a failed write.
+    pub fn is_stopped(&self) -> bool {
+        self.node.stopped()
+    }
+
     /// Last position applied on this VM, entries of the log's own included.
     pub fn applied(&self) -> ids::LogIndex {
         self.node.state().applied
--- a/src/log/members.rs
+++ b/src/log/members.rs
@@ -16,7 +16,8 @@
 use super::model::{Body, DiskId, Entry, Membership, Seat, Vote};
 use super::node::Node;
 use super::replicate;
-use super::state::{Progress, State};
+use super::state::{Role, State};
+use crate::clock;
 use crate::ids;
 use crate::rpc::Peer;
 
@@ -26,13 +27,16 @@
 /// Longest wait for an answer about members.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Silence after which a voter asks whether it is still one: several elections.
+const LEFT_OUT_AFTER: Duration = Duration::from_secs(3);
+
 /// Time between looks at a change under way.
 const POLL: Duration = Duration::from_millis(5);
 
 /// Forms or joins a cluster whenever this disk has no vote, until the log stops.
 pub(super) async fn settle(node: Rc<Node>) {
     while !node.stopped() {
-        if !is_voter(&node) {
+        if !is_voter(&node) || is_left_out(&node) {
             seek(&node).await;
         }
         monoio::time::sleep(SEEK).await;
@@ -44,6 +48,13 @@
     state.log.members().is_some_and(|m| m.is_voter(&state.disk))
 }
 
+/// Whether a voter of an open cluster hears nobody; others may have replaced it.
+fn is_left_out(node: &Node) -> bool {
+    let state = node.state();
+    let silent = clock::now() >= state.heard + LEFT_OUT_AFTER;
+    node.config.open.is_some() && state.role != Role::Leader && silent
+}
+
 async fn seek(node: &Rc<Node>) {
     let conditions = ask_all(node, None).await;
     if conditions.iter().flatten().any(|c| c.formed) {
@@ -51,13 +62,7 @@
         join(node, &conditions).await;
         return;
     }
-    let others = node
-        .config
-        .members
-        .iter()
-        .filter(|m| m.vm != node.config.vm);
-    let first = others.clone().all(|m| node.config.vm < m.vm);
-    if !first || !all_blank(node, &conditions) {
+    if !is_founder(node, &conditions) || !all_blank(node, &conditions) {
         return;
     }
     let founder = Arc::clone(&node.state().disk);
@@ -67,6 +72,16 @@
     }
 }
 
+/// Whether this VM is the one that forms a cluster.
+fn is_founder(node: &Node, conditions: &[Option<Condition>]) -> bool {
+    let roster = node.roster.borrow();
+    let first = roster.iter().map(|m| &m.vm).min() == Some(&node.config.vm);
+    let founding = |o: super::Open| {
+        o.founding || conditions.iter().flatten().any(|c| c.founding)
+    };
+    first && node.config.open.is_none_or(founding)
+}
+
 fn all_blank(node: &Node, conditions: &[Option<Condition>]) -> bool {
     let own = node.state().log.members().is_none();
     own && conditions
@@ -76,18 +91,14 @@
 
 /// Asks every other configured VM; `None` for each that did not answer.
 async fn ask_all(node: &Rc<Node>, founder: Option<DiskId>) -> Vec<Option<Condition>> {
-    let others = node
-        .config
-        .members
-        .iter()
-        .filter(|m| m.vm != node.config.vm);
+    let others = others(node);
     let ask = |member: &Member| {
         let blank = Blank {
             founder: founder.clone(),
         };
         monoio::spawn(ask(peer(node, member), Arc::clone(&member.vm), blank))
     };
-    let calls: Vec<_> = others.map(ask).collect();
+    let calls: Vec<_> = others.iter().map(ask).collect();
     let mut conditions = Vec::new();
     for call in calls {
         conditions.push(call.await);
@@ -95,6 +106,12 @@
     conditions
 }
 
+fn others(node: &Node) -> Vec<Member> {
+    let roster = node.roster.borrow();
+    let others = roster.iter().filter(|m| m.vm != node.config.vm);
+    others.cloned().collect()
+}
+
 fn peer(node: &Node, member: &Member) -> Peer {
     node.peer(&Seat {
         vm: Arc::clone(&member.vm),
@@ -114,18 +131,33 @@
     let request = Join {
         vm: Arc::clone(&node.config.vm),
         disk: Arc::clone(&node.state().disk),
+        address: node.config.open.map(|o| o.address),
     };
+    let others = others(node);
     for condition in conditions.iter().flatten().filter(|c| c.formed) {
-        let member = node.config.members.iter().find(|m| m.vm == condition.vm);
+        let member = others.iter().find(|m| m.vm == condition.vm);
         let Some(member) = member else { continue };
         let peer = peer(node, member);
         let call = peer.call::<_, Joined>(messages::JOIN, &request, CALL_TIMEOUT);
-        if call.await.is_ok_and(|j| j.begun) {
+        let Ok(joined) = call.await else { continue };
+        if joined.begun || join_at(node, &request, joined.leader).await {
             return;
         }
     }
 }
 
+/// Asks the leader that another member named.
+async fn join_at(node: &Node, request: &Join, leader: Option<SocketAddr>) -> bool {
+    let Some(address) = leader else { return false };
+    let leader = Member {
+        vm: address.to_string().into(),
+        address,
+    };
+    let peer = peer(node, &leader);
+    let call = peer.call::<_, Joined>(messages::JOIN, request, CALL_TIMEOUT);
+    call.await.is_ok_and(|j| j.begun)
+}
+
 /// Writes the first entry, which names the members; an election follows.
 async fn form(node: &Node, conditions: Vec<Condition>) {
     let disks: Vec<_> = conditions.into_iter().map(|c| (c.vm, c.disk)).collect();
@@ -142,7 +174,7 @@
             address: m.address,
             voter: true,
         };
-        let seats = node.config.members.iter().map(seat).collect();
+        let seats = node.roster.borrow().iter().map(seat).collect();
         let term = state.term().saturating_add(1);
         state.vote = Vote {
             term,
@@ -161,7 +193,7 @@
     }
     node.record(
         "log.formed",
-        &format!("{} members", node.config.members.len()),
+        &format!("{} members", node.roster.borrow().len()),
     );
     node.save_vote().await;
     node.work.wake();
@@ -178,27 +210,29 @@
         vm: Arc::clone(&node.config.vm),
         disk: Arc::clone(&state.disk),
         formed,
+        founding: node.config.open.is_some_and(|o| o.founding),
     }
 }
 
 /// Begins to admit a disk, as leader.
 pub(super) fn admit(node: &Rc<Node>, join: Join) -> Joined {
-    let refused = |reason: &str| Joined {
+    let refused = |reason: &str, leader| Joined {
         begun: false,
         reason: Some(reason.into()),
+        leader,
     };
     let mut state = node.state_mut();
     let term = state.term();
     if !state.leads(term) || state.leaving {
-        return refused("another VM leads");
+        return refused("another VM leads", leader_of(&state));
     }
-    let Some(address) = address_of(node, &state, &join.vm) else {
+    let Some(address) = address_of(node, &state, &join) else {
         drop(state);
         node.record("log.join_refused", &join.vm);
-        return refused("the VM is no member");
+        return refused("the VM is no member", None);
     };
     if is_in_use(node, &state, &join) {
-        return refused("another disk of the VM is in use");
+        return refused("another disk of the VM is in use", None);
     }
     if state.admitting.insert(Arc::clone(&join.disk)) {
         let seat = Seat {
@@ -212,29 +246,40 @@
     Joined {
         begun: true,
         reason: None,
+        leader: None,
     }
 }
 
 /// Whether another disk of the same VM still answers.
 fn is_in_use(node: &Node, state: &State, join: &Join) -> bool {
-    let answers = |disk: &DiskId| state.progress.get(disk).is_some_and(Progress::is_fresh);
+    let answers = |disk: &DiskId| state.is_fresh(disk);
     let members = state.log.members();
     let mut seats = members.into_iter().flat_map(|m| &m.seats);
     join.vm == node.config.vm
         || seats.any(|s| s.vm == join.vm && s.disk != join.disk && answers(&s.disk))
 }
 
-/// Address of a VM that is a member or was invited.
-fn address_of(node: &Node, state: &State, vm: &ids::VmName) -> Option<SocketAddr> {
+/// Address of the leader, if that is another VM.
+pub(super) fn leader_of(state: &State) -> Option<SocketAddr> {
+    let leader = state.leader.as_ref()?;
+    let seat = state.log.members()?.seat(&leader.disk)?;
+    Some(seat.address)
+}
+
+/// Address of a VM that is a member, was invited, or asks an open cluster.
+fn address_of(node: &Node, state: &State, join: &Join) -> Option<SocketAddr> {
+    let vm = &join.vm;
     let seats = &state.log.members()?.seats;
     let seated = seats.iter().find(|s| s.vm == *vm).map(|s| s.address);
-    let configured = node.config.members.iter().find(|m| m.vm == *vm);
+    let roster = node.roster.borrow();
+    let configured = roster.iter().find(|m| m.vm == *vm);
+    let asking = join.address.filter(|_| node.config.open.is_some());
     let invited = state
         .invited
         .iter()
         .find(|m| m.vm == *vm)
         .map(|m| m.address);
-    let known = seated.or(invited)?;
+    let known = seated.or(invited).or(asking)?;
     Some(configured.map_or(known, |m| m.address))
 }
 
@@ -242,7 +287,7 @@
     node.record("log.admitting", &format!("{} disk {}", seat.vm, seat.disk));
     let done = change(&node, term, |_, m| Edit::Make(with_learner(m, &seat))).await
         && change(&node, term, |s, m| without_lost(s, m, &seat)).await
-        && change(&node, term, |s, m| with_voter(s, m, &seat)).await;
+        && (has_all_voters(&node) || change(&node, term, |s, m| with_voter(s, m, &seat)).await);
     let mut state = node.state_mut();
     state.admitting.remove(&seat.disk);
     state.invited.retain(|m| !done || m.vm != seat.vm);
@@ -255,6 +300,13 @@
     node.record(kind, &format!("{} disk {}", seat.vm, seat.disk));
 }
 
+/// Whether an open cluster has as many voters as it wants.
+fn has_all_voters(node: &Node) -> bool {
+    let state = node.state();
+    let voters = state.log.members().map_or(0, |m| m.voters().count());
+    node.config.open.is_some_and(|o| voters >= o.voters)
+}
+
 /// Adds a disk that learns, in place of any other disk of its VM that does so.
 pub(super) fn with_learner(members: &Membership, seat: &Seat) -> Membership {
     let mut members = members.clone();
--- a/src/log/messages.rs
+++ b/src/log/messages.rs
@@ -3,6 +3,7 @@
 //! Each names the cluster by its founding disk and the disk it is meant for,
 //! so that a folder which was lost and made anew answers for none but itself.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -160,6 +161,9 @@
     pub disk: DiskId,
     /// Whether the disk belongs to a cluster.
     pub formed: bool,
+    /// Whether the VM knows that no cluster was ever formed.
+    #[serde(default)]
+    pub founding: bool,
 }
 
 /// Asks the leader to admit a disk.
@@ -169,6 +173,9 @@
     pub vm: ids::VmName,
     /// Its disk.
     pub disk: DiskId,
+    /// Its address, if the cluster is open.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
 }
 
 /// Answer to a [`Join`].
@@ -178,6 +185,9 @@
     pub begun: bool,
     /// Reason if not.
     pub reason: Option<Arc<str>>,
+    /// Address of the leader, if that is another VM.
+    #[serde(default)]
+    pub leader: Option<SocketAddr>,
 }
 
 /// Asks a follower to become leader at once.
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -24,6 +24,7 @@
 mod node;
 mod replicate;
 mod sealed;
+mod seats;
 mod segment;
 mod slot;
 mod snapshots;
@@ -36,6 +37,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 pub use error::{OpenError, ProposeError};
 pub use handle::{Handle, MemberStatus, Status};
@@ -66,8 +68,21 @@
     pub vm: ids::VmName,
     /// The data folder.
     pub folder: PathBuf,
-    /// All configured members, this one included.
+    /// All configured members, this one included; in an open cluster the VMs asked first.
     pub members: Vec<Member>,
+    /// How VMs that are not listed may take part; `None` if they may not.
+    pub open: Option<Open>,
+}
+
+/// How VMs join that no settings list; every VM is named by its address then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Open {
+    /// Address of this VM's control daemon.
+    pub address: SocketAddr,
+    /// Whether this VM knows that no cluster was ever formed.
+    pub founding: bool,
+    /// Members that vote; others only learn, and replace one that is lost.
+    pub voters: usize,
 }
 
 /// Figures that tests set lower.
@@ -77,6 +92,10 @@
     pub snapshot_entries: u64,
     /// Entries that stay in memory behind a snapshot, for members slightly behind.
     pub trailing_entries: u64,
+    /// Time between heartbeats of a leader.
+    pub heartbeat: Duration,
+    /// Shortest time without a leader before an election.
+    pub election: Duration,
 }
 
 impl Default for Tuning {
@@ -84,6 +103,8 @@
         Self {
             snapshot_entries: SNAPSHOT_ENTRIES,
             trailing_entries: TRAILING_ENTRIES,
+            heartbeat: replicate::HEARTBEAT,
+            election: state::ELECTION_TIMEOUT,
         }
     }
 }
@@ -135,7 +156,7 @@
     mut machine: Machine,
     journal: Journal,
 ) -> Result<Handle, OpenError> {
-    if !config.members.iter().any(|m| m.vm == config.vm) {
+    if config.open.is_none() && !config.members.iter().any(|m| m.vm == config.vm) {
         return Err(OpenError::Unlisted(config.vm));
     }
     let contents = folder::open(&config.folder)?;
@@ -159,7 +180,7 @@
     )
     .map_err(|e| OpenError::io(&config.folder, &e))?;
     let log = entries::Entries::recovered(contents.snapshot, contents.entries);
-    let state = state::State::new(contents.disk, contents.vote, log);
+    let state = state::State::new(contents.disk, contents.vote, log, tuning.election);
     let node = node::Node::new(config, tuning, machine, journal, state, disk);
     start(&node);
     Ok(Handle { node })
@@ -170,4 +191,7 @@
     monoio::spawn(election::watch(Rc::clone(node)));
     monoio::spawn(members::settle(Rc::clone(node)));
     monoio::spawn(snapshots::compact(Rc::clone(node)));
+    if let Some(open) = node.config.open {
+        monoio::spawn(seats::tend(Rc::clone(node), open));
+    }
 }
--- a/src/log/node.rs
+++ b/src/log/node.rs
@@ -11,7 +11,7 @@
 use super::messages::Route;
 use super::model::{Body, DiskId, Entry, Seat, Snapshot};
 use super::state::{Leader, State};
-use super::{Config, Encode, Machine, Tuning};
+use super::{Config, Encode, Machine, Member, Tuning};
 use crate::clock;
 use crate::ids;
 use crate::notify::Notify;
@@ -24,6 +24,8 @@
 /// One member of the log.
 pub(super) struct Node {
     pub(super) config: Config,
+    /// Configured members, or the VMs that are asked first.
+    pub(super) roster: RefCell<Vec<Member>>,
     pub(super) tuning: Tuning,
     pub(super) journal: Journal,
     state: RefCell<State>,
@@ -50,6 +52,7 @@
         disk: Disk,
     ) -> Rc<Self> {
         Rc::new(Self {
+            roster: RefCell::new(config.members.clone()),
             config,
             tuning,
             journal,
@@ -82,7 +85,8 @@
 
     /// The connection to a VM, at its configured address or else the one given.
     pub(super) fn peer(&self, seat: &Seat) -> rpc::Peer {
-        let member = self.config.members.iter().find(|m| m.vm == seat.vm);
+        let roster = self.roster.borrow();
+        let member = roster.iter().find(|m| m.vm == seat.vm);
         let address = member.map_or(seat.address, |m| m.address);
         let mut peers = self.peers.borrow_mut();
         let known = peers.get(&seat.vm).filter(|p| p.address() == address);
--- a/src/log/replicate.rs
+++ b/src/log/replicate.rs
@@ -14,8 +14,8 @@
 use crate::ids;
 use crate::rpc::Peer;
 
-/// Time between heartbeats of a leader.
-const HEARTBEAT: Duration = Duration::from_millis(50);
+/// Time between heartbeats of a leader, unless tuned.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(50);
 
 /// Longest wait for the answer to a heartbeat.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -224,9 +224,9 @@
     while let Some(beat) = next_beat(&link) {
         let round = link.node.state().round;
         if !send_beat(&link, &beat, round).await {
-            monoio::time::sleep(HEARTBEAT).await;
+            monoio::time::sleep(link.node.tuning.heartbeat).await;
         } else if link.node.state().round == round {
-            link.node.asked.wait(HEARTBEAT).await;
+            link.node.asked.wait(link.node.tuning.heartbeat).await;
         }
     }
 }
--- a/src/log/state.rs
+++ b/src/log/state.rs
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::ids;
 
-/// Shortest time without a leader before an election.
+/// Shortest time without a leader before an election, unless tuned.
 pub(super) const ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Part of a member in its term.
@@ -51,9 +51,9 @@
 }
 
 impl Progress {
-    /// Whether it answered lately.
-    pub(super) fn is_fresh(&self) -> bool {
-        clock::now() < self.heard + ELECTION_TIMEOUT
+    /// Whether it answered within `limit`.
+    pub(super) fn is_fresh(&self, limit: Duration) -> bool {
+        clock::now() < self.heard + limit
     }
 }
 
@@ -86,6 +86,8 @@
     pub(super) heard: Instant,
     /// Time after that until the next election.
     pub(super) patience: Duration,
+    /// Shortest time without a leader before an election.
+    pub(super) election: Duration,
     pub(super) log: Entries,
     pub(super) commit: ids::LogIndex,
     pub(super) applied: ids::LogIndex,
@@ -112,7 +114,7 @@
 
 impl State {
     /// State right after a start.
-    pub(super) fn new(disk: DiskId, vote: Vote, log: Entries) -> Self {
+    pub(super) fn new(disk: DiskId, vote: Vote, log: Entries, election: Duration) -> Self {
         Self {
             disk,
             synced_term: vote.term,
@@ -120,7 +122,8 @@
             role: Role::Follower,
             leader: None,
             heard: clock::now(),
-            patience: patience(),
+            patience: patience(election),
+            election,
             commit: log.covered(),
             applied: log.covered(),
             log,
@@ -176,7 +179,7 @@
         match self.role {
             Role::Leader => self.hears_majority(),
             _ if self.leader.is_none() => false,
-            _ => clock::now() < self.heard + ELECTION_TIMEOUT,
+            _ => clock::now() < self.heard + self.election,
         }
     }
 
@@ -184,11 +187,17 @@
     pub(super) fn hears_majority(&self) -> bool {
         self.log.members().is_some_and(|m| {
             m.majority(|s| {
-                s.disk == self.disk || self.progress.get(&s.disk).is_some_and(Progress::is_fresh)
+                s.disk == self.disk || self.is_fresh(&s.disk)
             })
         })
     }
 
+    /// Whether a member answered this leader lately.
+    pub(super) fn is_fresh(&self, disk: &str) -> bool {
+        let progress = self.progress.get(disk);
+        progress.is_some_and(|p| p.is_fresh(self.election))
+    }
+
     /// Moves to a higher term as a follower; the vote must be synced before an answer.
     pub(super) fn adopt(&mut self, term: ids::LogTerm) {
         if term > self.vote.term {
@@ -286,6 +295,6 @@
 }
 
 /// A random time until an election.
-pub(super) fn patience() -> Duration {
-    ELECTION_TIMEOUT + ELECTION_TIMEOUT.mul_f64(fastrand::f64())
+pub(super) fn patience(election: Duration) -> Duration {
+    election + election.mul_f64(fastrand::f64())
 }
--- a/src/log/tests/bench.rs
+++ b/src/log/tests/bench.rs
@@ -99,6 +99,7 @@
                 vm: name(from),
                 folder: folder.path().join("data"),
                 members: (0..count).map(member).collect(),
+                open: None,
             };
             cluster.vms.push(Vm {
                 config,
@@ -130,6 +131,7 @@
         let tuning = Tuning {
             snapshot_entries: self.snapshot_entries,
             trailing_entries: 10,
+            ..Tuning::default()
         };
         let machine = machine(&vm.applied);
         let handle = log::open_tuned(vm.config.clone(), tuning, machine, vm.journal.clone())?;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod control;
 pub mod entry;
+pub mod fleet;
 pub mod logging;
 mod start;
 
--- /dev/null
+++ b/src/table/mod.rs
@@ -0,0 +1,20 @@
+//! The routing table: which service a request goes to, and on which terms.
+//!
+//! Where one document describes one service, the table puts the routes of all
+//! services under one version, so that operators replace or patch it whole. A
+//! [`Store`] in the replicated log takes one change at a time, made on top of
+//! the version in force; [`Lookup`] finds the route of a request.
+
+pub mod change;
+pub mod check;
+pub mod lookup;
+pub mod model;
+pub mod store;
+#[cfg(test)]
+mod tests;
+
+pub use change::{Body, Change, Patch};
+pub use check::Fault;
+pub use lookup::Lookup;
+pub use model::{Destination, Limits, Part, Repeat, Route, Service, Table};
+pub use store::{Applied, Store};
--- /dev/null
+++ b/src/table/model.rs
@@ -0,0 +1,138 @@
+//! What a routing table says.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::clock;
+use crate::ids;
+
+/// Name of a route, unique in its table.
+pub type RouteName = Arc<str>;
+
+/// Rank of a request; 0 comes first.
+pub type Rank = u32;
+
+/// All routes and services, under one version.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Table {
+    /// Version; a later table has a higher one.
+    pub version: ids::Version,
+    /// Routes.
+    pub routes: Vec<Arc<Route>>,
+    /// Services.
+    pub services: Vec<Arc<Service>>,
+    /// Limits for callers.
+    pub limits: Limits,
+}
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeat {
+    /// It may: idempotent.
+    Idempotent,
+    /// It must run once at most.
+    Once,
+}
+
+/// Where the requests of a route go.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Destination {
+    /// All to one service.
+    Service(ids::ServiceName),
+    /// To several, in the proportions of their weights.
+    Split(Vec<Part>),
+}
+
+/// One service of a split.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The service.
+    pub service: ids::ServiceName,
+    /// Its share of the requests, against the sum of all weights.
+    pub weight: u32,
+}
+
+/// Terms of the requests whose host and path it names.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// Name.
+    pub name: RouteName,
+    /// Host that it is for.
+    pub host: Arc<str>,
+    /// Start of the paths that it is for.
+    pub prefix: Arc<str>,
+    /// Whether its requests may run more than once.
+    pub repeat: Repeat,
+    /// Longest time until the final answer.
+    #[serde(with = "clock::millis")]
+    pub timeout: Duration,
+    /// Time within which an answer is worth the most.
+    #[serde(with = "clock::millis")]
+    pub objective: Duration,
+    /// Rank.
+    pub rank: Rank,
+    /// Backend servers that one request may be sent to, at most.
+    pub attempts: u32,
+    /// Where its requests go.
+    pub destination: Destination,
+    /// The route as the operator wrote it.
+    pub written: Value,
+}
+
+impl Route {
+    /// Services that its requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &ids::ServiceName> {
+        let (one, parts) = match &self.destination {
+            Destination::Service(service) => (Some(service), &[][..]),
+            Destination::Split(parts) => (None, &parts[..]),
+        };
+        one.into_iter().chain(parts.iter().map(|p| &p.service))
+    }
+}
+
+/// One service that backend servers announce themselves for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Name.
+    pub name: ids::ServiceName,
+    /// Connections that one of its backend servers accepts from all callers together.
+    pub connections: u32,
+    /// Whether each key has one owner among its backend servers.
+    pub owned: bool,
+    /// The service as the operator wrote it.
+    pub written: Value,
+}
+
+/// Limits for callers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Bytes of a request line and its headers.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: u64,
+    /// Time from the first byte of a request to the end of its headers.
+    #[serde(with = "clock::millis")]
+    pub head: Duration,
+    /// Time that a connection may stay open between two requests.
+    #[serde(with = "clock::millis")]
+    pub idle: Duration,
+    /// The limits as the operator wrote them.
+    pub written: Value,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 << 10,
+            body_bytes: 64 << 20,
+            head: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+            written: Value::Null,
+        }
+    }
+}
--- a/src/web/decode.rs
+++ b/src/web/decode.rs
@@ -127,7 +127,7 @@
 }
 
 /// Whether a response with this status never has a body.
-pub(super) fn is_bodiless(status: StatusCode) -> bool {
+pub fn is_bodiless(status: StatusCode) -> bool {
     status.is_informational()
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -18,6 +18,7 @@
 pub mod server;
 pub mod socket;
 pub mod stop;
+pub mod wire;
 #[cfg(test)]
 mod tests;
 
--- a/src/web/stop.rs
+++ b/src/web/stop.rs
@@ -26,7 +26,7 @@
 }
 
 /// One connection, or the listener, as long as it lives.
-pub(super) struct Member {
+pub struct Member {
     id: u64,
     stop: Stop,
     told: Option<oneshot::Receiver<()>>,
@@ -65,7 +65,8 @@
         true
     }
 
-    pub(super) fn join(&self) -> Member {
+    /// Takes part until the member is dropped.
+    pub fn join(&self) -> Member {
         let id = self.inner.next.get();
         self.inner.next.set(id + 1);
         let (sender, receiver) = oneshot::channel();
@@ -85,7 +86,7 @@
     }
 
     /// Waits for the first word of the stop.
-    pub(super) async fn stopped(&mut self) {
+    pub async fn stopped(&mut self) {
         if let Some(told) = self.told.as_mut().filter(|_| !self.stop.is_stopping()) {
             let _ = told.await;
         }
