--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -35,6 +35,12 @@
 /// Shortest time without a leader before an election: some lost or late heartbeats.
 const ELECTION: Duration = Duration::from_millis(900);
 
+/// Lease of a backend server, unless it takes only shorter ones.
+///
+/// The keys of one that crashed are dark for so long, and an election with the
+/// heartbeats that miss it must fit in.
+const LEASE: Duration = Duration::from_secs(5);
+
 /// Pause before a log that could not be opened, or has stopped, is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -167,7 +173,8 @@
             return None;
         }
     };
-    let desk = Desk::new(handle.clone(), state, journal.clone(), settings.lease);
+    let lease = settings.lease.min(LEASE);
+    let desk = Desk::new(handle.clone(), state, journal.clone(), lease);
     monoio::spawn(Rc::clone(&desk).run());
     let front = Front::new(desk, journal.clone());
     let own = Vm {
--- a/src/fleet/desk.rs
+++ b/src/fleet/desk.rs
@@ -1,7 +1,7 @@
 //! The leader's desk: reports, leases, and changes of the table.
 
 use std::cell::{RefCell, RefMut};
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,12 +9,11 @@
 
 use super::balance::Loads;
 use super::leases::Leases;
-use super::messages::{Granted, Leave, Lease, Load, Renewal, Report};
+use super::messages::{Granted, Lease, Leave, Renewal, Report, Seen};
 use super::model::{Life, Server, Standing};
 use super::plan::{self, Candidate};
 use super::rows::Assigned;
 use super::store::{Change, Store};
-use super::probe;
 use crate::clock;
 use crate::control::command::{Applied, Command};
 use crate::control::propose;
@@ -42,6 +41,12 @@
 /// What is left of a counted request after one look at the balance.
 const FADE: f64 = 0.6;
 
+/// Part of a backend server's pace that one more sample leaves: some thirty samples count.
+const NEWEST: f64 = 0.97;
+
+/// Paces that are told apart; what lies beyond is a server in trouble, not a slow one.
+const PACES: (f64, f64) = (0.4, 3.0);
+
 /// Why the desk has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -76,7 +81,8 @@
     loads: RefCell<Loads>,
     /// When the first report for a service came.
     first: RefCell<Option<Instant>>,
-    probing: RefCell<HashSet<Life>>,
+    /// Time that backend servers take for a request, against others of their service.
+    paces: RefCell<HashMap<ids::ServerName, f64>>,
 }
 
 impl Desk {
@@ -90,7 +96,7 @@
             leases: RefCell::default(),
             loads: RefCell::default(),
             first: RefCell::default(),
-            probing: RefCell::default(),
+            paces: RefCell::default(),
         })
     }
 
@@ -131,10 +137,16 @@
         self.fleet(Change::Vm(vm)).await
     }
 
-    /// Counts requests.
-    pub fn count(&self, loads: &[Load]) {
+    /// Takes in what entry VMs saw.
+    pub fn see(&self, seen: &Seen) {
         let mut all = self.loads.borrow_mut();
-        loads.iter().for_each(|l| all.add(l));
+        seen.loads.iter().for_each(|l| all.add(l));
+        let mut paces = self.paces.borrow_mut();
+        for pace in &seen.paces {
+            let known = paces.entry(Arc::clone(&pace.server)).or_insert(pace.pace);
+            let weight = NEWEST.powi(i32::try_from(pace.samples).unwrap_or(i32::MAX));
+            *known = *known * weight + pace.pace * (1.0 - weight);
+        }
     }
 
     /// Answers the report of a backend server.
@@ -156,6 +168,7 @@
         if !self.state.table.borrow().is_owned(service) {
             return Ok(Renewal::default());
         }
+        self.free(since, service, &life).await?;
         let standing = self.fleet_ref(|store| store.life(&life).map(|s| s.standing));
         match standing {
             Some(Standing::Ready) => self.assign(since, service, &life).await?,
@@ -227,42 +240,6 @@
             self.loads.borrow_mut().fade(FADE);
             self.forget(since).await;
         }
-        self.probe(since);
-    }
-
-    /// Looks whether silent holders of keys have ended.
-    fn probe(self: &Rc<Self>, since: Instant) {
-        for server in self.suspects(since) {
-            if !self.probing.borrow_mut().insert(server.life.clone()) {
-                continue;
-            }
-            let desk = Rc::clone(self);
-            monoio::spawn(async move {
-                let ended = probe::has_ended(server.address).await;
-                desk.probing.borrow_mut().remove(&server.life);
-                if ended && desk.log.leading_since() == Some(since) {
-                    desk.leases(since).died(&server.life);
-                    desk.gone(&server.life, "no process at its address").await;
-                }
-            });
-        }
-    }
-
-    /// Holders of keys that are silent or have left.
-    fn suspects(&self, since: Instant) -> Vec<Arc<Server>> {
-        let now = clock::now();
-        let leases = self.leases(since);
-        self.fleet_ref(|store| {
-            let rows = store.rows.values().flat_map(super::rows::Rows::iter);
-            let mut holders: Vec<_> = rows.filter_map(|r| r.holder.as_ref()).collect();
-            holders.sort();
-            holders.dedup();
-            let servers = holders.into_iter().filter_map(|l| store.life(l));
-            let suspect = |s: &&Arc<Server>| {
-                s.standing == Standing::Left || leases.is_silent(&s.life, QUIET_AFTER, now)
-            };
-            servers.filter(suspect).map(Arc::clone).collect()
-        })
     }
 
     /// Takes backend servers without keys for gone that were silent for long.
@@ -304,7 +281,8 @@
             let shares = self.loads.borrow().shares(service);
             self.fleet_ref(|store| {
                 let rows = store.rows(service).cloned().unwrap_or_default();
-                let candidates = candidates(store, &leases, service, now);
+                let paces = self.paces.borrow();
+                let candidates = candidates(store, &leases, &paces, service, now);
                 plan::plan(&rows, &candidates, &shares, even)
             })
         };
@@ -321,6 +299,34 @@
         .await
     }
 
+    /// Notes that a life has let go of keys that another is to hold.
+    async fn free(
+        &self,
+        since: Instant,
+        service: &ids::ServiceName,
+        life: &Life,
+    ) -> Result<(), Refusal> {
+        let spans: Vec<_> = {
+            let now = clock::now();
+            let leases = self.leases(since);
+            self.fleet_ref(|store| {
+                let rows = store.rows(service).into_iter().flat_map(|r| r.iter());
+                let own = rows.filter(|r| r.holder.as_ref() == Some(life));
+                let free = own.filter(|r| leases.is_free(r, store, now));
+                free.map(|r| (r.from, r.to)).collect()
+            })
+        };
+        if spans.is_empty() {
+            return Ok(());
+        }
+        self.fleet(Change::Free {
+            service: Arc::clone(service),
+            life: life.clone(),
+            spans,
+        })
+        .await
+    }
+
     /// Hands to a life the keys that it is the next holder of and that are free.
     async fn assign(
         &self,
@@ -343,10 +349,8 @@
         if spans.is_empty() {
             return Ok(());
         }
-        {
-            let mut leases = self.leases(since);
-            let handed = spans.iter().for_each(|s| leases.handed_on(service, s.from, s.to));
-            handed
+        for span in &spans {
+            self.leases(since).handed_on(service, span.from, span.to);
         }
         let event = Event::new("fleet.assign").service(service).server(&life.server);
         self.journal.record(event.detail(&format!("{} spans", spans.len())));
@@ -426,7 +430,13 @@
 }
 
 /// Backend servers that may hold keys: those that take requests and whose lease lives.
-fn candidates(store: &Store, leases: &Leases, service: &str, now: Instant) -> Vec<Candidate> {
+fn candidates(
+    store: &Store,
+    leases: &Leases,
+    paces: &HashMap<ids::ServerName, f64>,
+    service: &str,
+    now: Instant,
+) -> Vec<Candidate> {
     let quiet = |s: &Server| leases.is_silent(&s.life, QUIET_AFTER, now);
     let holds = |s: &Server| {
         let mut rows = store.rows(service).into_iter().flat_map(|r| r.iter());
@@ -438,9 +448,13 @@
     let ready = store
         .of(service)
         .filter(|s| s.standing == Standing::Ready && lives(s));
+    let pace = |life: &Life| {
+        let pace = paces.get(&life.server).copied().unwrap_or(1.0);
+        pace.clamp(PACES.0, PACES.1)
+    };
     let candidate = |s: &Arc<Server>| Candidate {
         life: s.life.clone(),
-        weight: f64::from(s.slots.max(1)),
+        weight: f64::from(s.slots.max(1)) / pace(&s.life),
     };
     ready.map(candidate).collect()
 }
--- a/src/fleet/front.rs
+++ b/src/fleet/front.rs
@@ -5,7 +5,7 @@
 //! as a leader was heard lately.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,7 +18,7 @@
 
 use super::balance::Loads;
 use super::desk::{Desk, Refusal};
-use super::messages::{self, Leave, Load, Renewal, Report};
+use super::messages::{self, Leave, Pace, Renewal, Report, Seen};
 use super::model::{Life, Standing, Vm};
 use super::news::{self, News, Poll};
 use crate::clock;
@@ -36,8 +36,11 @@
 /// Longest wait for the leader: callers turn to another VM after a second.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(850);
 
-/// Time between two loads passed on to the leader.
-const LOADS_EVERY: Duration = Duration::from_secs(1);
+/// Time between two passes of what entry VMs saw to the leader.
+const SEEN_EVERY: Duration = Duration::from_secs(1);
+
+/// Pause before a VM that could not be made known is tried again.
+const INTRODUCE_PAUSE: Duration = Duration::from_millis(300);
 
 /// How long an unchanged report of a server without keys is answered without the leader.
 const ANSWERED_HERE: Duration = Duration::from_secs(10);
@@ -48,6 +51,8 @@
     journal: Journal,
     peers: RefCell<BTreeMap<SocketAddr, rpc::Peer>>,
     loads: RefCell<Loads>,
+    paces: RefCell<Vec<Pace>>,
+    introducing: RefCell<HashSet<ids::VmName>>,
     passed: RefCell<HashMap<Life, Instant>>,
 }
 
@@ -59,6 +64,8 @@
             journal,
             peers: RefCell::default(),
             loads: RefCell::default(),
+            paces: RefCell::default(),
+            introducing: RefCell::default(),
             passed: RefCell::default(),
         })
     }
@@ -168,9 +175,8 @@
             }
             messages::TABLE if self.leads() => reply(self.desk.table().await),
             messages::VM if self.leads() => reply(self.desk.vm(server::params(&body)?).await),
-            messages::LOADS if self.leads() => {
-                let loads: Vec<Load> = server::params(&body)?;
-                self.desk.count(&loads);
+            messages::SEEN if self.leads() => {
+                self.desk.see(&server::params(&body)?);
                 server::result(&())
             }
             other if is_known_method(other) => reply::<()>(Err(Refusal::NotLeader)),
@@ -204,48 +210,56 @@
     /// Takes in what an entry VM says of itself.
     fn note(self: &Rc<Self>, poll: &Poll) {
         if self.leads() {
-            self.desk.count(&poll.loads);
+            self.desk.see(&poll.seen);
         } else {
             let mut loads = self.loads.borrow_mut();
-            poll.loads.iter().for_each(|l| loads.add(l));
+            poll.seen.loads.iter().for_each(|l| loads.add(l));
+            self.paces.borrow_mut().extend_from_slice(&poll.seen.paces);
         }
         let known = {
             let store = self.desk.state.fleet.borrow();
             store.vms().any(|v| *v == poll.vm)
         };
-        if !known {
+        let name = &poll.vm.name;
+        if !known && self.introducing.borrow_mut().insert(Arc::clone(name)) {
             let (front, vm) = (Rc::clone(self), poll.vm.clone());
-            monoio::spawn(async move { front.introduce(vm).await });
+            monoio::spawn(async move {
+                front.introduce(&vm).await;
+                front.introducing.borrow_mut().remove(&vm.name);
+            });
         }
     }
 
-    /// Makes a VM known; whoever it is will be back if that fails.
-    async fn introduce(&self, vm: Vm) {
-        if let Err(refusal) = self.vm(vm).await {
-            log::info!("event=fleet.vm_unknown refused={refusal:?}");
+    /// Makes a VM known, unless it takes too long; it will be back then.
+    async fn introduce(&self, vm: &Vm) {
+        if let Err(refusal) = self.vm(vm.clone()).await {
+            log::info!("event=fleet.vm_unknown vm={:?} refused={refusal:?}", vm.name);
+            monoio::time::sleep(INTRODUCE_PAUSE).await;
         }
     }
 
     /// Makes this VM known and passes loads on to the leader, until the log stops.
     pub async fn run(self: Rc<Self>, own: Vm) {
         while !self.desk.log.is_stopped() {
-            monoio::time::sleep(LOADS_EVERY).await;
+            monoio::time::sleep(SEEN_EVERY).await;
             let known = {
                 let store = self.desk.state.fleet.borrow();
                 store.vms().any(|v| *v == own)
             };
             if !known {
-                self.introduce(own.clone()).await;
+                self.introduce(&own).await;
             }
-            let loads = self.loads.borrow_mut().drain();
-            match loads.as_slice() {
-                [] => {}
-                loads if self.leads() => self.desk.count(loads),
-                loads => {
-                    let passed = self.pass::<_, ()>(messages::LOADS, &loads).await;
-                    if let Err(refusal) = passed {
-                        // Loads are counted anew all the time; these are not missed.
-                        log::debug!("event=fleet.loads_lost refused={refusal:?}");
+            let seen = Seen {
+                loads: self.loads.borrow_mut().drain(),
+                paces: self.paces.take(),
+            };
+            match () {
+                () if seen.is_empty() => {}
+                () if self.leads() => self.desk.see(&seen),
+                () => {
+                    if let Err(refusal) = self.pass::<_, ()>(messages::SEEN, &seen).await {
+                        // It is counted anew all the time; this is not missed.
+                        log::debug!("event=fleet.seen_lost refused={refusal:?}");
                     }
                 }
             }
@@ -282,7 +296,7 @@
         messages::CHANGE,
         messages::TABLE,
         messages::VM,
-        messages::LOADS,
+        messages::SEEN,
     ];
     methods.contains(&method)
 }
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -3,7 +3,7 @@
 //! A leader that has just begun knows of no lease, so it counts every life as
 //! holding one for the longest time that its predecessor may have granted.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -40,7 +40,6 @@
     /// When this VM began to lead.
     since: Instant,
     known: HashMap<ids::ServerName, Known>,
-    dead: HashSet<Life>,
     freed: BTreeMap<ids::ServiceName, Vec<Freed>>,
 }
 
@@ -51,7 +50,6 @@
             length,
             since,
             known: HashMap::new(),
-            dead: HashSet::new(),
             freed: BTreeMap::new(),
         }
     }
@@ -99,11 +97,6 @@
         }
     }
 
-    /// Notes that a life is proved to have ended.
-    pub fn died(&mut self, life: &Life) {
-        self.dead.insert(life.clone());
-    }
-
     /// When a life last reported, as far as this leader knows.
     pub fn heard(&self, life: &Life) -> Option<Instant> {
         let known = self.known.get(&life.server);
@@ -117,7 +110,7 @@
 
     /// Whether whatever a life was granted has run out, or the life has ended.
     pub fn has_ended(&self, life: &Life, store: &Store, now: Instant) -> bool {
-        if store.life(life).is_none() || self.dead.contains(life) {
+        if store.life(life).is_none() {
             return true;
         }
         let unknown = self.since + self.length.mul_f64(CLOCK_SLACK);
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -18,8 +18,8 @@
 pub const TABLE: &str = "fleet.table";
 /// Method that makes a VM known.
 pub const VM: &str = "fleet.vm";
-/// Method that passes loads on to the leader.
-pub const LOADS: &str = "fleet.loads";
+/// Method that passes on to the leader what entry VMs saw.
+pub const SEEN: &str = "fleet.seen";
 
 /// Keys that a backend server holds, or is still at work on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -95,6 +95,35 @@
     pub born: Option<u64>,
 }
 
+/// What entry VMs saw since they last said so.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Requests by keys.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<Load>,
+    /// How fast holders of keys are.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<Pace>,
+}
+
+impl Seen {
+    /// Whether nothing was seen.
+    pub fn is_empty(&self) -> bool {
+        self.loads.is_empty() && self.paces.is_empty()
+    }
+}
+
+/// How fast a backend server is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pace {
+    /// Which.
+    pub server: ids::ServerName,
+    /// Time that it takes for a request, against others of its service.
+    pub pace: f64,
+    /// Answers that this follows from.
+    pub samples: u32,
+}
+
 /// Requests for some keys of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 //! from then on the old one is no longer given the span. Once the old holder
 //! has reported that it let go, is proved dead, or its lease has run out, the
 //! next report of the new holder is answered with the span and a fence above
-//! all before it.
+//! all before it. A refused connection proves no end: a cut may refuse as well.
 
 pub mod balance;
 pub mod daemon;
@@ -23,7 +23,6 @@
 pub mod model;
 pub mod news;
 pub mod plan;
-pub mod probe;
 pub mod rows;
 pub mod store;
 #[cfg(test)]
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::messages::Load;
+use super::messages::Seen;
 use super::model::{Row, Server, Standing, Vm};
 use super::store::Store;
 use crate::ids;
@@ -20,9 +20,9 @@
     pub vm: Vm,
     /// Log position that it knows.
     pub have: ids::LogIndex,
-    /// Requests that it got since it last asked, by keys.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub loads: Vec<Load>,
+    /// What it saw since it last asked.
+    #[serde(default, skip_serializing_if = "Seen::is_empty")]
+    pub seen: Seen,
 }
 
 /// Rows of one service.
--- a/src/fleet/rows.rs
+++ b/src/fleet/rows.rs
@@ -70,6 +70,16 @@
         self.join(index);
     }
 
+    /// Takes keys from a holder that has let go of them.
+    pub fn free(&mut self, index: ids::LogIndex, life: &Life, (from, to): (Key, Key)) {
+        self.cut(from, to);
+        let held = |row: &Row| row.holder.as_ref() == Some(life) && row.next.is_some();
+        for row in self.within(from, to).filter(|r| held(r)) {
+            row.holder = None;
+        }
+        self.join(index);
+    }
+
     /// Hands keys to `life`; only those that it was named for.
     pub fn assign(&mut self, index: ids::LogIndex, life: &Life, assigned: &Assigned) {
         self.cut(assigned.from, assigned.to);
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::model::{Life, Part, Server, Standing, Vm};
+use super::model::{Key, Life, Part, Server, Standing, Vm};
 use super::rows::{Assigned, Release, Rows};
 use crate::ids;
 
@@ -37,6 +37,15 @@
         /// Which keys, and to whom.
         spans: Vec<Release>,
     },
+    /// Keys that are to change hands were let go of.
+    Free {
+        /// Service.
+        service: ids::ServiceName,
+        /// Holder until now.
+        life: Life,
+        /// First and last key of each span.
+        spans: Vec<(Key, Key)>,
+    },
     /// Keys have changed hands; the log position is their fence.
     Assign {
         /// Service.
@@ -116,6 +125,14 @@
                 let rows = self.rows.entry(service).or_default();
                 spans.iter().for_each(|s| rows.release(index, s));
             }
+            Change::Free {
+                service,
+                life,
+                spans,
+            } => {
+                let rows = self.rows.entry(service).or_default();
+                spans.iter().for_each(|s| rows.free(index, &life, *s));
+            }
             Change::Assign {
                 service,
                 life,
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -11,6 +11,7 @@
 
 use super::head::LoadTold;
 use crate::clock;
+use crate::fleet::messages::Pace;
 use crate::fleet::{Server, Standing};
 use crate::web::wire::Wire;
 
@@ -55,6 +56,8 @@
     told: Cell<Instant>,
     /// Time that it takes for a request, against other servers of its service.
     pace: Cell<f64>,
+    /// Answers since the pace was last told.
+    samples: Cell<u32>,
     /// Part of its requests that fail.
     faults: Cell<f64>,
     failures: Cell<u32>,
@@ -74,6 +77,7 @@
             others: Cell::new(0.0),
             told: Cell::new(now),
             pace: Cell::new(1.0),
+            samples: Cell::new(0),
             faults: Cell::new(0.0),
             failures: Cell::new(0),
             resting: Cell::new(None),
@@ -113,6 +117,16 @@
         self.pace.get().max(0.1) * cold
     }
 
+    /// Its pace, if there were answers since this was last asked.
+    pub fn take_pace(&self) -> Option<Pace> {
+        let samples = self.samples.take();
+        (samples > 0).then(|| Pace {
+            server: Arc::clone(&self.server.borrow().life.server),
+            pace: (self.pace.get() * 100.0).round() / 100.0,
+            samples,
+        })
+    }
+
     /// Part of its requests that fail.
     pub fn faults(&self) -> f64 {
         self.faults.get()
@@ -151,6 +165,7 @@
         mix(&self.faults, f64::from(u8::from(failed)));
         if let Some(took) = took {
             mix(&self.pace, took);
+            self.samples.set(self.samples.get().saturating_add(1));
         }
         if let Some(told) = told {
             let all = f64::from(told.running.saturating_add(told.waiting));
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -146,7 +146,7 @@
     journal.record(Event::new("gateway.stopping"));
     let begun = clock::now();
     let last = settings.grace.mul_f64(GRACE_PART);
-    gate.stop.stop();
+    gate.close(caller::LEAVE);
     monoio::time::sleep(caller::LEAVE.min(last)).await;
     let left = last.saturating_sub(clock::now().saturating_duration_since(begun));
     let whole = gate.stop.finished(left).await;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,6 +12,7 @@
 
 use super::Gate;
 use crate::fleet::front::POLL_HOLD;
+use crate::fleet::messages::Seen;
 use crate::fleet::news::{self, News, Poll};
 use crate::fleet::{Part, Vm};
 use crate::rpc;
@@ -71,7 +72,10 @@
     let poll = Poll {
         vm: own.clone(),
         have: gate.known.borrow().index,
-        loads: gate.loads.borrow_mut().drain(),
+        seen: Seen {
+            loads: gate.loads.borrow_mut().drain(),
+            paces: gate.known.borrow().paces(),
+        },
     };
     peer.call(news::POLL, &poll, POLL_HOLD + SLACK).await
 }
--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::backend::Backend;
+use crate::fleet::messages::Pace;
 use crate::fleet::news::News;
 use crate::fleet::{Key, Part, Row, Server, Standing, Vm};
 use crate::ids;
@@ -95,6 +96,12 @@
         self.backends.values()
     }
 
+    /// How fast holders of keys were since this was last asked.
+    pub fn paces(&self) -> Vec<Pace> {
+        let services = self.rows.keys().map(|s| self.backends(s));
+        services.flatten().filter_map(|b| b.take_pace()).collect()
+    }
+
     /// Who holds a key of a service.
     pub fn holder(&self, service: &str, key: Key) -> Holder {
         let rows = self.rows.get(service).map_or(&[][..], |r| r);
@@ -106,9 +113,9 @@
             Some(backend).filter(|b| b.server().life == *l)
         });
         match (row, backend) {
-            (Some(row), _) if row.next.is_some() => Holder::Moving,
             (_, Some(backend)) => Holder::Backend(Rc::clone(backend)),
-            _ => Holder::Nobody,
+            (Some(row), None) if row.next.is_some() => Holder::Moving,
+            (_, None) => Holder::Nobody,
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,7 +25,9 @@
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
+use crate::clock;
 use crate::fleet::balance::Loads;
 use crate::ids;
 use crate::notify::Notify;
@@ -50,6 +52,8 @@
     pub loads: RefCell<Loads>,
     /// Asks connections to end.
     pub stop: Stop,
+    /// From when on no request is taken any more, once this VM stops.
+    pub last_call: Cell<Option<Instant>>,
     /// What became of requests so far.
     pub counts: Counts,
 }
@@ -76,10 +80,22 @@
             budget: RefCell::new(budget::Budget::new(retries)),
             loads: RefCell::default(),
             stop: Stop::default(),
+            last_call: Cell::default(),
             counts: Counts::default(),
         })
     }
 
+    /// Asks connections to end; requests are taken for `leave` longer.
+    pub fn close(&self, leave: Duration) {
+        self.last_call.set(Some(clock::now() + leave));
+        self.stop.stop();
+    }
+
+    /// Whether this VM stops and takes no more requests.
+    pub fn is_closed(&self) -> bool {
+        self.last_call.get().is_some_and(|last| clock::now() >= last)
+    }
+
     /// Whether requests can be routed.
     pub fn is_ready(&self) -> bool {
         self.known.borrow().table.is_some() && !self.stop.is_stopping()
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -44,6 +44,9 @@
 /// When to come back if nobody can be reached.
 const DARK_AFTER: Duration = Duration::from_secs(1);
 
+/// When to come back, to another VM, if this one stops.
+const CLOSED_AFTER: Duration = Duration::from_millis(50);
+
 /// Backend servers that are tried without anything being sent.
 const UNREACHED: u32 = 3;
 
@@ -96,6 +99,9 @@
     pub fn new(gate: &Rc<Gate>, parts: &request::Parts) -> Result<Self, Own> {
         let arrived = clock::now();
         let known = gate.known.borrow();
+        if gate.is_closed() {
+            return Err(Own::later(CLOSED_AFTER, "this VM stops"));
+        }
         if known.table.is_none() {
             return Err(Own::later(DARK_AFTER, "no routes are known yet"));
         }
--- a/src/log/members.rs
+++ b/src/log/members.rs
@@ -36,16 +36,22 @@
 /// Forms or joins a cluster whenever this disk has no vote, until the log stops.
 pub(super) async fn settle(node: Rc<Node>) {
     while !node.stopped() {
-        if !is_voter(&node) || is_left_out(&node) {
+        if needs_seat(&node) || is_left_out(&node) {
             seek(&node).await;
         }
         monoio::time::sleep(SEEK).await;
     }
 }
 
-fn is_voter(node: &Node) -> bool {
+/// Whether this disk has no vote, or in an open cluster no seat.
+fn needs_seat(node: &Node) -> bool {
     let state = node.state();
-    state.log.members().is_some_and(|m| m.is_voter(&state.disk))
+    let open = node.config.open.is_some();
+    let seated = |m: &Membership| match m.seat(&state.disk) {
+        Some(seat) => seat.voter || open,
+        None => false,
+    };
+    !state.log.members().is_some_and(seated)
 }
 
 /// Whether a voter of an open cluster hears nobody; others may have replaced it.
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -39,7 +39,7 @@
     pub founding: bool,
     /// The data folder.
     pub data: PathBuf,
-    /// Longest lease of a backend server.
+    /// Longest lease that backend servers take.
     #[serde(with = "clock::text")]
     pub lease: Duration,
     /// What is logged, and where.
