Name the control VM that the next heartbeat reaches with the fewest detours

Cause: heartbeats went to any control VM and from there to the leader, twice across zones; requests crossed zones for small gains. Change: holders are sent to the leader, others to the control VM of their zone; another zone costs 0.9 of a request instead of 0.6.

--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -176,7 +176,7 @@
     let lease = settings.lease.min(LEASE);
     let desk = Desk::new(handle.clone(), state, journal.clone(), lease);
     monoio::spawn(Rc::clone(&desk).run());
-    let front = Front::new(desk, journal.clone());
+    let front = Front::new(desk, settings.control, journal.clone());
     let own = Vm {
         name: Arc::clone(&settings.vm),
         zone: Arc::clone(&settings.zone),
--- a/src/fleet/desk.rs
+++ b/src/fleet/desk.rs
@@ -180,7 +180,10 @@
         }
         self.leases(since).granted(&life, received);
         let lease = self.fleet_ref(|store| lease(store, service, &life, self.length));
-        Ok(Renewal { lease: Some(lease) })
+        Ok(Renewal {
+            lease: Some(lease),
+            next: None,
+        })
     }
 
     /// Notes that a backend server leaves.
--- a/src/fleet/front.rs
+++ b/src/fleet/front.rs
@@ -19,7 +19,7 @@
 use super::balance::Loads;
 use super::desk::{Desk, Refusal};
 use super::messages::{self, Leave, Pace, Renewal, Report, Seen};
-use super::model::{Life, Standing, Vm};
+use super::model::{Life, Part, Standing, Vm};
 use super::news::{self, News, Poll};
 use crate::clock;
 use crate::ids;
@@ -48,6 +48,8 @@
 /// One control VM, as others see it.
 pub struct Front {
     desk: Rc<Desk>,
+    /// Address of this VM for backend servers and operators; its port is the same on every VM.
+    control: SocketAddr,
     journal: Journal,
     peers: RefCell<BTreeMap<SocketAddr, rpc::Peer>>,
     loads: RefCell<Loads>,
@@ -58,9 +60,10 @@
 
 impl Front {
     /// A front before a desk.
-    pub fn new(desk: Rc<Desk>, journal: Journal) -> Rc<Self> {
+    pub fn new(desk: Rc<Desk>, control: SocketAddr, journal: Journal) -> Rc<Self> {
         Rc::new(Self {
             desk,
+            control,
             journal,
             peers: RefCell::default(),
             loads: RefCell::default(),
@@ -105,18 +108,40 @@
     ///
     /// [`Refusal`] if nothing may be renewed here and now.
     pub async fn report(&self, report: Report) -> Result<Renewal, Refusal> {
-        if self.leads() {
-            return self.desk.report(report).await;
-        }
-        if self.is_known(&report) {
-            return Ok(Renewal::default());
-        }
-        let renewal = self.pass(messages::REPORT, &report).await?;
         let life = report.life().clone();
-        self.passed.borrow_mut().insert(life, clock::now());
+        let zone = Arc::clone(&report.server.zone);
+        let mut renewal = match self.leads() {
+            true => self.desk.report(report).await?,
+            false if self.is_known(&report) => Renewal::default(),
+            false => {
+                let renewal = self.pass(messages::REPORT, &report).await?;
+                self.passed.borrow_mut().insert(life, clock::now());
+                renewal
+            }
+        };
+        renewal.next = match renewal.lease {
+            Some(_) => self.leader(),
+            None => self.near(&zone),
+        };
         Ok(renewal)
     }
 
+    /// Control address of the leader.
+    fn leader(&self) -> Option<SocketAddr> {
+        match self.desk.log.leader() {
+            Some(leader) => Some(SocketAddr::new(leader.ip(), self.control.port())),
+            None => Some(self.control).filter(|_| self.leads()),
+        }
+    }
+
+    /// Control address of a control VM in a zone.
+    fn near(&self, zone: &str) -> Option<SocketAddr> {
+        let store = self.desk.state.fleet.borrow();
+        let mut vms = store.vms().filter(|v| v.part == Part::Control);
+        let near = vms.find(|v| *v.zone == *zone)?;
+        Some(SocketAddr::new(near.address.ip(), self.control.port()))
+    }
+
     /// Notes that a backend server leaves.
     ///
     /// # Errors
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -1,5 +1,6 @@
 //! What backend servers and control VMs tell each other.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -84,6 +85,9 @@
 pub struct Renewal {
     /// The lease.
     pub lease: Option<Lease>,
+    /// Control address that the next reports reach with the fewest detours.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<SocketAddr>,
 }
 
 /// A backend server leaves for good.
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -7,7 +7,7 @@
 
 /// What a backend server in another zone costs more, in requests of average length:
 /// bytes between zones are dear, waiting behind others is dearer.
-const OTHER_ZONE: f64 = 0.6;
+const OTHER_ZONE: f64 = 0.9;
 
 /// How much a server that is nearly full is slower than one with free slots.
 const CROWDED: f64 = 0.35;
