Deal keys in small rows, tell entry VMs only the rows that changed, follow the own zone

Cause: busy keys are close to one another and stood in one server's row; every change of a row sent all rows; an entry VM stayed with the seed it met first, mostly in another zone.

--- a/src/fleet/desk.rs
+++ b/src/fleet/desk.rs
@@ -36,7 +36,7 @@
 const FORGET_AFTER: Duration = Duration::from_secs(40);
 
 /// Time that the first backend servers get to report before keys are dealt out.
-const GATHER: Duration = Duration::from_millis(1500);
+const GATHER: Duration = Duration::from_millis(2500);
 
 /// What is left of a counted request after one look at the balance.
 const FADE: f64 = 0.77;
@@ -473,7 +473,7 @@
         token: r.token.clone(),
     };
     Lease {
-        grants: own.take(2 * plan::ROWS_PER_SERVER).map(grant).collect(),
+        grants: own.map(grant).collect(),
         length,
     }
 }
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -100,6 +100,8 @@
     /// Who is to hold it next.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub next: Option<Next>,
+    /// Log position of its last change.
+    pub changed: ids::LogIndex,
 }
 
 /// The next holder of a row.
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::model::{Row, Server, Standing, Vm};
+use super::model::{Key, Row, Server, Standing, Vm};
 use super::store::Store;
 use crate::ids;
 use crate::table;
@@ -21,13 +21,58 @@
     pub have: ids::LogIndex,
 }
 
-/// Rows of one service.
+/// Who holds keys in a row, as entry VMs need to know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Compact", into = "Compact")]
+pub struct Held {
+    /// First key.
+    pub from: Key,
+    /// Last key.
+    pub to: Key,
+    /// Holder, if there is one.
+    pub holder: Option<ids::ServerName>,
+    /// Whether another is to hold it next.
+    pub moving: bool,
+}
+
+/// A [`Held`] without names, as there are many.
+type Compact = (Key, Key, Option<ids::ServerName>, bool);
+
+impl From<Compact> for Held {
+    fn from((from, to, holder, moving): Compact) -> Self {
+        Self {
+            from,
+            to,
+            holder,
+            moving,
+        }
+    }
+}
+
+impl From<Held> for Compact {
+    fn from(held: Held) -> Self {
+        (held.from, held.to, held.holder, held.moving)
+    }
+}
+
+impl From<&Row> for Held {
+    fn from(row: &Row) -> Self {
+        Self {
+            from: row.from,
+            to: row.to,
+            holder: row.holder.as_ref().map(|l| Arc::clone(&l.server)),
+            moving: row.next.is_some(),
+        }
+    }
+}
+
+/// Rows of one service that changed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Holders {
     /// Service.
     pub service: ids::ServiceName,
-    /// All its rows.
-    pub rows: Vec<Row>,
+    /// The rows.
+    pub rows: Vec<Held>,
 }
 
 /// What changed since a log position.
@@ -43,7 +88,7 @@
     /// Backend servers that changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub servers: Vec<Arc<Server>>,
-    /// Services whose rows changed.
+    /// Rows that changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub holders: Vec<Holders>,
     /// All VMs, if any changed.
@@ -87,7 +132,7 @@
         holders: holders
             .map(|(service, rows)| Holders {
                 service: Arc::clone(service),
-                rows: rows.iter().cloned().collect(),
+                rows: rows.iter().filter(|r| is_new(r.changed)).map(Held::from).collect(),
             })
             .collect(),
         vms: store.vms().filter(|_| moved).cloned().collect(),
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -5,7 +5,7 @@
 use super::rows::{Release, Rows};
 
 /// Rows that one backend server holds at most, so that an answer to it stays small.
-pub const ROWS_PER_SERVER: usize = 40;
+pub const ROWS_PER_SERVER: usize = 64;
 
 /// Load against the mean from which on keys move away for balance.
 ///
@@ -16,7 +16,11 @@
 const FILLED: f64 = 1.1;
 
 /// Moves for balance in one round: a few busy keys may be worth many servers.
-const MOVES: usize = 8;
+const MOVES: usize = 16;
+
+/// Rows that each backend server is dealt: busy keys are close to one another, so
+/// that many small rows spread them, and each row costs bytes in every heartbeat.
+const DEALT: usize = 16;
 
 /// Pieces that the mean load is cut into when lost keys find new holders.
 const PIECES: f64 = 3.0;
@@ -84,27 +88,30 @@
 }
 
 impl Plan<'_> {
-    /// Gives every candidate one span, by its weight.
+    /// Gives every candidate some spans, by its weight.
     fn deal(&mut self) {
         let total: f64 = self.candidates.iter().map(|c| c.weight).sum();
+        let last = (DEALT, self.candidates.len());
         let mut from = Some(0);
         self.spans.clear();
-        for (i, candidate) in self.candidates.iter().enumerate() {
-            let Some(first) = from else { return };
-            let last = if i + 1 == self.candidates.len() {
-                Some(Key::MAX)
-            } else {
-                self.shares.upto(first, Key::MAX, candidate.weight / total)
-            };
-            let Some(last) = last else { continue };
-            self.spans.push(Span {
-                from: first,
-                to: last,
-                place: Some(i),
-                moved: true,
-                pending: false,
-            });
-            from = last.checked_add(1);
+        for round in 1..=DEALT {
+            for (i, candidate) in self.candidates.iter().enumerate() {
+                let Some(first) = from else { return };
+                let share = candidate.weight / total / DEALT as f64;
+                let upto = match (round, i + 1) == last {
+                    true => Some(Key::MAX),
+                    false => self.shares.upto(first, Key::MAX, share),
+                };
+                let Some(to) = upto else { continue };
+                self.spans.push(Span {
+                    from: first,
+                    to,
+                    place: Some(i),
+                    moved: true,
+                    pending: false,
+                });
+                from = to.checked_add(1);
+            }
         }
     }
 
--- a/src/fleet/rows.rs
+++ b/src/fleet/rows.rs
@@ -45,6 +45,7 @@
                 fence: 0,
                 token: None,
                 next: None,
+                changed: 0,
             }],
             changed: 0,
         }
@@ -62,6 +63,7 @@
         self.cut(release.from, release.to);
         for row in self.within(release.from, release.to) {
             let since = row.next.as_ref().map_or(index, |n| n.since);
+            row.changed = index;
             row.next = Some(Next {
                 life: release.next.clone(),
                 since,
@@ -76,6 +78,7 @@
         let held = |row: &Row| row.holder.as_ref() == Some(life) && row.next.is_some();
         for row in self.within(from, to).filter(|r| held(r)) {
             row.holder = None;
+            row.changed = index;
         }
         self.join(index);
     }
@@ -89,6 +92,7 @@
             row.fence = index;
             row.token.clone_from(&assigned.token);
             row.next = None;
+            row.changed = index;
         }
         self.join(index);
     }
@@ -125,6 +129,7 @@
             let same = left.holder == right.holder
                 && left.fence == right.fence
                 && left.token == right.token
+                && left.changed == right.changed
                 && left.next == right.next;
             if same {
                 left.to = right.to;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::Gate;
+use crate::clock;
 use crate::fleet::front::{POLL_HOLD, SEEN_EVERY};
 use crate::fleet::messages::{self, Seen};
 use crate::fleet::news::{self, News, Poll};
@@ -21,6 +22,9 @@
 /// Wait for an answer beyond the time that a question is held open.
 const SLACK: Duration = Duration::from_millis(300);
 
+/// Time between two tries to follow a control VM of the own zone again.
+const NEAR_EVERY: Duration = Duration::from_secs(4);
+
 /// Pause after a control VM that did not answer.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -59,6 +63,7 @@
     monoio::spawn(tell(Rc::clone(&gate), Rc::clone(&followed)));
     let mut current: Option<SocketAddr> = None;
     let mut lost = false;
+    let mut near_after = clock::now();
     loop {
         let address = match current.or_else(|| first(&gate, &own, &seeds)) {
             Some(address) => address,
@@ -81,6 +86,11 @@
                 *followed.borrow_mut() = Some(peer.clone());
                 if !take(&gate, news) {
                     current = next(&gate, &own, &seeds, address);
+                } else if clock::now() >= near_after
+                    && let Some(near) = nearer(&gate, &own, address)
+                {
+                    current = Some(near);
+                    near_after = clock::now() + NEAR_EVERY;
                 }
             }
             Err(error) => {
@@ -114,6 +124,16 @@
     taken
 }
 
+/// A control VM of the own zone, if `address` is none.
+fn nearer(gate: &Gate, own: &Vm, address: SocketAddr) -> Option<SocketAddr> {
+    let known = gate.known.borrow();
+    let controls = known.vms.iter().filter(|v| v.part == Part::Control);
+    let mut near = controls.filter(|v| v.zone == own.zone).map(|v| v.address);
+    let first = near.next()?;
+    let is_near = first == address || near.any(|a| a == address);
+    (!is_near).then_some(first)
+}
+
 /// The control VM to ask first.
 fn first(gate: &Gate, own: &Vm, seeds: &Seeds) -> Option<SocketAddr> {
     all(gate, own, seeds).first().copied()
--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -6,8 +6,8 @@
 
 use super::backend::Backend;
 use crate::fleet::messages::Pace;
-use crate::fleet::news::News;
-use crate::fleet::{Key, Part, Row, Server, Standing, Vm};
+use crate::fleet::news::{Held, News};
+use crate::fleet::{Key, Part, Server, Standing, Vm};
 use crate::ids;
 use crate::table;
 
@@ -26,7 +26,7 @@
     pub vms: Vec<Vm>,
     backends: HashMap<ids::ServerName, Rc<Backend>>,
     services: HashMap<ids::ServiceName, Vec<Rc<Backend>>>,
-    rows: HashMap<ids::ServiceName, Vec<Row>>,
+    rows: HashMap<ids::ServiceName, Vec<Held>>,
     /// Time that the requests of each route take, in seconds.
     pub(super) works: HashMap<table::model::RouteName, f64>,
 }
@@ -65,8 +65,12 @@
         if changed {
             self.arrange();
         }
+        if news.whole {
+            self.rows.clear();
+        }
         for holders in news.holders {
-            self.rows.insert(holders.service, holders.rows);
+            let rows = self.rows.entry(holders.service).or_default();
+            lay_over(rows, holders.rows);
         }
         if !news.vms.is_empty() {
             self.vms = news.vms;
@@ -107,14 +111,11 @@
         let rows = self.rows.get(service).map_or(&[][..], |r| r);
         let at = rows.partition_point(|r| r.to < key);
         let row = rows.get(at).filter(|r| r.from <= key);
-        let life = row.and_then(|r| r.holder.as_ref());
-        let backend = life.and_then(|l| {
-            let backend = self.backends.get(&l.server)?;
-            Some(backend).filter(|b| b.server().life == *l)
-        });
+        let name = row.and_then(|r| r.holder.as_ref());
+        let backend = name.and_then(|n| self.backends.get(n));
         match (row, backend) {
             (_, Some(backend)) => Holder::Backend(Rc::clone(backend)),
-            (Some(row), None) if row.next.is_some() => Holder::Moving,
+            (Some(row), None) if row.moving => Holder::Moving,
             (_, None) => Holder::Nobody,
         }
     }
@@ -122,7 +123,7 @@
     /// Notes that the holder of a key has let go of it; its next holder will be told.
     pub fn let_go(&mut self, service: &str, key: Key) {
         let rows = self.rows.get_mut(service).into_iter().flatten();
-        let moving = |r: &&mut Row| r.from <= key && key <= r.to && r.next.is_some();
+        let moving = |r: &&mut Held| r.from <= key && key <= r.to && r.moving;
         for row in rows.filter(moving) {
             row.holder = None;
         }
@@ -151,3 +152,24 @@
         }
     }
 }
+
+/// Lays rows over others, of which the parts that they cover go.
+fn lay_over(rows: &mut Vec<Held>, news: Vec<Held>) {
+    for new in news {
+        let first = rows.partition_point(|r| r.to < new.from);
+        let last = rows.partition_point(|r| r.from <= new.to);
+        let covered: Vec<_> = rows.drain(first..last).collect();
+        let left = covered.first().filter(|r| r.from < new.from);
+        let left = left.map(|r| Held {
+            to: new.from.saturating_sub(1),
+            ..r.clone()
+        });
+        let right = covered.last().filter(|r| new.to < r.to);
+        let right = right.map(|r| Held {
+            from: new.to.saturating_add(1),
+            ..r.clone()
+        });
+        let parts = left.into_iter().chain([new]).chain(right);
+        rows.splice(first..first, parts);
+    }
+}
