Read at a position instead of passing tables on, write spans without names, box rare work

Cause: idle daemons sent 40 KB a second between zones: each read of the table passed 8 KB on, appended entries were hexadecimal, each span of a plan repeated its server; an idle connection of a caller held 9.8 KB for work it rarely does.

--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -30,7 +30,7 @@
 const VOTERS: usize = 3;
 
 /// Time between heartbeats of the leader; each costs bytes between zones.
-const HEARTBEAT: Duration = Duration::from_millis(250);
+const HEARTBEAT: Duration = Duration::from_millis(300);
 
 /// Shortest time without a leader before an election: some lost or late heartbeats.
 const ELECTION: Duration = Duration::from_millis(700);
--- a/src/fleet/desk.rs
+++ b/src/fleet/desk.rs
@@ -1,7 +1,7 @@
 //! The leader's desk: reports, leases, and changes of the table.
 
 use std::cell::{RefCell, RefMut};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -117,15 +117,14 @@
         }
     }
 
-    /// The newest table.
+    /// A log position that reflects all that was acknowledged before the call.
     ///
     /// # Errors
     ///
-    /// [`Refusal::NotLeader`] if this VM can't be sure which is the newest.
-    pub async fn table(&self) -> Result<Option<Arc<table::Table>>, Refusal> {
+    /// [`Refusal::NotLeader`] if this VM can't be sure that it leads.
+    pub async fn position(&self) -> Result<ids::LogIndex, Refusal> {
         let barrier = self.log.read_barrier().await;
-        barrier.map_err(|_| Refusal::NotLeader)?;
-        Ok(self.state.table.borrow().current().map(Arc::clone))
+        barrier.map_err(|_| Refusal::NotLeader)
     }
 
     /// Makes a VM known.
@@ -295,9 +294,13 @@
         let detail = format!("{} spans even={even}", spans.len());
         let event = Event::new("fleet.release").service(service);
         self.journal.record(event.detail(&detail));
+        let mut named: BTreeMap<Life, Vec<_>> = BTreeMap::new();
+        for span in spans {
+            named.entry(span.next).or_default().push((span.from, span.to));
+        }
         self.fleet(Change::Release {
             service: Arc::clone(service),
-            spans,
+            spans: named.into_iter().collect(),
         })
         .await
     }
--- a/src/fleet/front.rs
+++ b/src/fleet/front.rs
@@ -39,6 +39,9 @@
 /// Time between two passes of what entry VMs saw to the leader.
 pub const SEEN_EVERY: Duration = Duration::from_millis(500);
 
+/// Time between looks whether the log is applied far enough; entries without commands wake nobody.
+const REACH_LOOK: Duration = Duration::from_millis(20);
+
 /// Pause before a VM that could not be made known is tried again.
 const INTRODUCE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -96,10 +99,26 @@
     ///
     /// [`Refusal`] if it can't be told which is the newest.
     pub async fn table(&self) -> Result<Option<Arc<table::Table>>, Refusal> {
-        if self.leads() {
-            return self.desk.table().await;
+        let position = match self.leads() {
+            true => self.desk.position().await?,
+            false => self.pass(messages::POSITION, &()).await?,
+        };
+        self.reach(position).await?;
+        let table = self.desk.state.table.borrow();
+        Ok(table.current().map(Arc::clone))
+    }
+
+    /// Waits until the log is applied here up to a position.
+    async fn reach(&self, position: ids::LogIndex) -> Result<(), Refusal> {
+        let end = clock::now() + LEADER_TIMEOUT;
+        while self.desk.log.applied() < position {
+            let left = end.saturating_duration_since(clock::now());
+            if left.is_zero() {
+                return Err(Refusal::NotLeader);
+            }
+            self.desk.state.changed.wait(left.min(REACH_LOOK)).await;
         }
-        self.pass(messages::TABLE, &()).await
+        Ok(())
     }
 
     /// Answers the report of a backend server.
@@ -198,7 +217,7 @@
             messages::CHANGE if self.leads() => {
                 reply(self.desk.change(server::params(&body)?).await)
             }
-            messages::TABLE if self.leads() => reply(self.desk.table().await),
+            messages::POSITION if self.leads() => reply(self.desk.position().await),
             messages::VM if self.leads() => reply(self.desk.vm(server::params(&body)?).await),
             messages::SEEN => {
                 self.see(&server::params(&body)?);
@@ -322,7 +341,7 @@
         messages::REPORT,
         messages::LEAVE,
         messages::CHANGE,
-        messages::TABLE,
+        messages::POSITION,
         messages::VM,
     ];
     methods.contains(&method)
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -15,8 +15,8 @@
 pub const LEAVE: &str = "fleet.leave";
 /// Method of a change of the table.
 pub const CHANGE: &str = "fleet.change";
-/// Method that reads the table.
-pub const TABLE: &str = "fleet.table";
+/// Method that tells the log position at which a read is up to date.
+pub const POSITION: &str = "fleet.position";
 /// Method that makes a VM known.
 pub const VM: &str = "fleet.vm";
 /// Method that passes on to the leader what entry VMs saw.
--- a/src/fleet/rows.rs
+++ b/src/fleet/rows.rs
@@ -6,7 +6,7 @@
 use crate::ids;
 
 /// Keys that are to change hands.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Release {
     /// First key.
     pub from: Key,
@@ -16,8 +16,9 @@
     pub next: Life,
 }
 
-/// Keys that have changed hands.
+/// Keys that have changed hands; written without names, as there are many.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(Key, Key, Option<Token>)", into = "(Key, Key, Option<Token>)")]
 pub struct Assigned {
     /// First key.
     pub from: Key,
@@ -27,6 +28,18 @@
     pub token: Option<Token>,
 }
 
+impl From<(Key, Key, Option<Token>)> for Assigned {
+    fn from((from, to, token): (Key, Key, Option<Token>)) -> Self {
+        Self { from, to, token }
+    }
+}
+
+impl From<Assigned> for (Key, Key, Option<Token>) {
+    fn from(assigned: Assigned) -> Self {
+        (assigned.from, assigned.to, assigned.token)
+    }
+}
+
 /// All rows of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rows {
@@ -59,13 +72,13 @@
     }
 
     /// Names the next holder of some keys.
-    pub fn release(&mut self, index: ids::LogIndex, release: &Release) {
-        self.cut(release.from, release.to);
-        for row in self.within(release.from, release.to) {
+    pub fn release(&mut self, index: ids::LogIndex, next: &Life, (from, to): (Key, Key)) {
+        self.cut(from, to);
+        for row in self.within(from, to) {
             let since = row.next.as_ref().map_or(index, |n| n.since);
             row.changed = index;
             row.next = Some(Next {
-                life: release.next.clone(),
+                life: next.clone(),
                 since,
             });
         }
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::model::{Key, Life, Part, Server, Standing, Vm};
-use super::rows::{Assigned, Release, Rows};
+use super::rows::{Assigned, Rows};
 use crate::ids;
 
 /// Backend servers that are gone and still known, so that followers hear of their end.
@@ -34,8 +34,8 @@
     Release {
         /// Service.
         service: ids::ServiceName,
-        /// Which keys, and to whom.
-        spans: Vec<Release>,
+        /// Who is to hold which; first and last key of each span.
+        spans: Vec<(Life, Vec<(Key, Key)>)>,
     },
     /// Keys that are to change hands were let go of.
     Free {
@@ -123,7 +123,9 @@
             Change::Stand { life, standing } => self.stand(index, &life, standing),
             Change::Release { service, spans } => {
                 let rows = self.rows.entry(service).or_default();
-                spans.iter().for_each(|s| rows.release(index, s));
+                for (next, spans) in &spans {
+                    spans.iter().for_each(|s| rows.release(index, next, *s));
+                }
             }
             Change::Free {
                 service,
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -100,7 +100,9 @@
                             return;
                         }
                     }
-                    if with_body(&gate, &mut wire, head, &limits).await == Then::End {
+                    // Boxed, as an idle connection would hold room for it otherwise.
+                    let work = Box::pin(with_body(&gate, &mut wire, head, &limits));
+                    if work.await == Then::End {
                         return;
                     }
                 }
@@ -322,7 +324,7 @@
         return Then::End;
     }
     if let Some(rest) = rest
-        && !pass(wire, *rest).await
+        && !Box::pin(pass(wire, *rest)).await
     {
         return Then::End;
     }
--- a/src/log/codec.rs
+++ b/src/log/codec.rs
@@ -69,51 +69,33 @@
     }
 }
 
-/// Bytes as text in messages, two digits each.
-pub(super) mod hex {
+/// Bytes as hexadecimal digits.
+pub(super) fn hex(bytes: &[u8]) -> String {
+    let digits = bytes.iter().map(|b| format!("{b:02x}"));
+    digits.collect()
+}
+
+/// Bytes as text in messages.
+pub(super) mod text {
+    use base64::Engine;
+    use base64::engine::general_purpose::STANDARD_NO_PAD;
     use serde::de::Error;
     use serde::{Deserialize, Deserializer, Serializer};
 
-    const DIGITS: &[u8; 16] = b"0123456789abcdef";
-
-    /// Bytes as hexadecimal digits.
-    pub(in super::super) fn text(bytes: &[u8]) -> String {
-        let digit = |n: u8| char::from(DIGITS.get(usize::from(n)).copied().unwrap_or(b'0'));
-        let mut text = String::with_capacity(bytes.len() * 2);
-        for byte in bytes {
-            text.push(digit(byte >> 4));
-            text.push(digit(byte & 0xf));
-        }
-        text
-    }
-
-    fn bytes(text: &str) -> Option<Vec<u8>> {
-        let digit = |c: u8| {
-            char::from(c)
-                .to_digit(16)
-                .and_then(|d| u8::try_from(d).ok())
-        };
-        let (pairs, []) = text.as_bytes().as_chunks::<2>() else {
-            return None;
-        };
-        let pair = |[high, low]: &[u8; 2]| Some(digit(*high)? << 4 | digit(*low)?);
-        pairs.iter().map(pair).collect()
-    }
-
-    /// Writes hexadecimal digits.
+    /// Writes base64.
     pub(in super::super) fn serialize<S>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error>
     where
         S: Serializer,
     {
-        serializer.serialize_str(&text(bytes))
+        serializer.serialize_str(&STANDARD_NO_PAD.encode(bytes))
     }
 
-    /// Reads hexadecimal digits.
+    /// Reads base64.
     pub(in super::super) fn deserialize<'de, D>(deserializer: D) -> Result<Vec<u8>, D::Error>
     where
         D: Deserializer<'de>,
     {
         let text = String::deserialize(deserializer)?;
-        bytes(&text).ok_or_else(|| D::Error::custom("not hexadecimal"))
+        STANDARD_NO_PAD.decode(&text).map_err(D::Error::custom)
     }
 }
--- a/src/log/folder.rs
+++ b/src/log/folder.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::codec::hex;
+use super::codec;
 use super::error::OpenError;
 use super::model::{DiskId, Entry, Membership, Snapshot, Vote};
 use super::sealed;
@@ -188,7 +188,7 @@
     let mut bytes = [0; IDENTITY_BYTES];
     let mut random = File::open("/dev/urandom").map_err(failed)?;
     random.read_exact(&mut bytes).map_err(failed)?;
-    let disk: DiskId = hex::text(&bytes).into();
+    let disk: DiskId = codec::hex(&bytes).into();
     let identity = Identity {
         disk: Arc::clone(&disk),
     };
--- a/src/log/messages.rs
+++ b/src/log/messages.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::codec::hex;
+use super::codec::text;
 use super::model::{DiskId, Membership};
 use crate::ids;
 
@@ -94,7 +94,7 @@
     /// Term of that entry.
     pub prior_term: ids::LogTerm,
     /// The entries, encoded.
-    #[serde(with = "hex")]
+    #[serde(with = "text")]
     pub entries: Vec<u8>,
     /// Last entry that is committed.
     pub commit: ids::LogIndex,
@@ -141,7 +141,7 @@
     /// Checksum of the whole state.
     pub crc: u32,
     /// The part.
-    #[serde(with = "hex")]
+    #[serde(with = "text")]
     pub data: Vec<u8>,
 }
 
--- a/src/log/tests/aside.rs
+++ b/src/log/tests/aside.rs
@@ -51,10 +51,12 @@
                 vm: "alone".into(),
                 address: listener.local_addr().unwrap(),
             }],
+            open: None,
         };
         let tuning = Tuning {
             snapshot_entries: 5,
             trailing_entries: 5,
+            ..Tuning::default()
         };
         let holding = Arc::clone(&held);
         let snapshot = move || -> Encode {
--- a/src/log/tests/faults.rs
+++ b/src/log/tests/faults.rs
@@ -318,6 +318,7 @@
             let join = Join {
                 vm: cluster.handle(vm).status().vm,
                 disk: "another".into(),
+                address: None,
             };
             let joined: Joined = ask(&cluster, leader, messages::JOIN, &join).await;
             assert!(!joined.begun, "{vm}");
