--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -127,12 +127,14 @@
         state.led.filter(|_| state.hears_majority())
     }
 
-    /// Whether a leader was heard lately, or this VM leads with a majority.
+    /// Whether a leader was heard lately, or this VM leads with a majority, and an entry of
+    /// the present term is applied.
     ///
     /// What is applied here is then at most a few heartbeats old.
     pub fn is_current(&self) -> bool {
         let state = self.node.state();
-        state.has_leader() && !state.stopped
+        let caught_up = state.log.term_at(state.applied) == Some(state.term());
+        caught_up && state.has_leader() && !state.stopped
     }
 
     /// Address of the leader, if another VM is known to lead.
--- a/src/log/node.rs
+++ b/src/log/node.rs
@@ -211,11 +211,17 @@
     /// Moves on what a leader may commit, then applies.
     pub(super) fn advance(&self) {
         let mut state = self.state_mut();
+        let before = state.commit;
         if state.role == super::Role::Leader {
             state.count_commit();
         }
+        let grown = state.commit > before;
         drop(state);
         self.apply();
+        if grown {
+            // Followers hear of it with the next heartbeat.
+            self.asked.wake();
+        }
     }
 
     /// Applies every committed entry and answers those who wait for it.
--- a/src/log/state.rs
+++ b/src/log/state.rs
@@ -212,6 +212,9 @@
         if self.role == Role::Leader {
             self.heard = clock::now();
         }
+        if leader.is_some() {
+            self.patience = patience(self.election);
+        }
         self.role = Role::Follower;
         self.leader = leader;
         self.led = None;
