--- a/src/log/node.rs
+++ b/src/log/node.rs
@@ -257,8 +257,10 @@
         if leads && state.led.is_none() {
             state.led = Some(clock::now());
         }
+        // Members that later entries have replaced, as after a restart, say nothing.
+        let newest = entry.index == state.log.members_index();
         let removed = match &entry.body {
-            Body::Members(members) => !members.is_voter(&state.disk),
+            Body::Members(members) => newest && !members.is_voter(&state.disk),
             Body::Noop | Body::Command(_) => false,
         };
         if removed && state.role == super::Role::Leader {
@@ -305,8 +307,12 @@
     pub(super) fn yield_to(&self, term: ids::LogTerm) {
         let mut state = self.state_mut();
         if term > state.term() {
+            let led = state.role == super::Role::Leader;
             state.adopt(term);
             drop(state);
+            if led {
+                self.record("log.yielded", &format!("to term {term}"));
+            }
             self.wake_all();
         }
     }
