--- a/src/log/state.rs
+++ b/src/log/state.rs
@@ -7,10 +7,10 @@
 use local_sync::oneshot;
 use serde::{Deserialize, Serialize};
 
+use super::Tuning;
 use super::entries::Entries;
 use super::error::ProposeError;
 use super::messages::{Chunk, Route};
-use super::Tuning;
 use super::model::{Body, DiskId, Entry, Membership, Vote};
 use crate::clock;
 use crate::ids;
--- a/src/log/tests/open.rs
+++ b/src/log/tests/open.rs
@@ -115,7 +115,12 @@
 async fn propose(vms: &[&Vm], text: &str) {
     loop {
         let leader = leader(vms).await;
-        if leader.handle().propose(text.as_bytes().to_vec()).await.is_ok() {
+        if leader
+            .handle()
+            .propose(text.as_bytes().to_vec())
+            .await
+            .is_ok()
+        {
             return;
         }
         monoio::time::sleep(Duration::from_millis(10)).await;
@@ -183,7 +188,10 @@
         let lost = leader(&seeds).await;
         lost.kill();
         let all = [&a, &b, &c, &d];
-        let left: Vec<_> = all.into_iter().filter(|v| v.address != lost.address).collect();
+        let left: Vec<_> = all
+            .into_iter()
+            .filter(|v| v.address != lost.address)
+            .collect();
         voters(&left, &left).await;
         propose(&left, "two").await;
         lost.start(&seeds, false);
@@ -206,7 +214,10 @@
         // The fourth gets a vote only later, so older entries name members without it.
         let lost = leader(&seeds).await;
         lost.kill();
-        let left: Vec<_> = all.into_iter().filter(|v| v.address != lost.address).collect();
+        let left: Vec<_> = all
+            .into_iter()
+            .filter(|v| v.address != lost.address)
+            .collect();
         voters(&left, &left).await;
         for vm in &left {
             vm.kill();
