--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,6 +27,7 @@
 use crate::route::{self, pull};
 use crate::rpc::{self, Answer, Fault, error, server};
 use crate::settings::entry as settings;
+use crate::settings::{StartError, bind};
 use crate::signals::Signals;
 use crate::timeline::{Event, Journal};
 use crate::timing;
@@ -45,26 +45,6 @@
 /// Method of a question for routes.
 const PULL: &str = "route.pull";
 
-/// Why the daemon could not start.
-#[derive(Debug)]
-pub enum StartError {
-    /// An address could not be bound.
-    Bind(SocketAddr, io::Error),
-    /// Signals could not be taken.
-    Signals(io::Error),
-}
-
-impl fmt::Display for StartError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Bind(address, error) => write!(f, "cannot listen on {address}: {error}"),
-            Self::Signals(error) => write!(f, "cannot take signals: {error}"),
-        }
-    }
-}
-
-impl std::error::Error for StartError {}
-
 /// What the tasks of the daemon share.
 pub struct Entry {
     /// Settings.
@@ -140,7 +120,6 @@
 
 impl Listeners {
     fn bind(settings: &settings::Settings) -> Result<Self, StartError> {
-        let bind = |address| TcpListener::bind(address).map_err(|e| StartError::Bind(address, e));
         Ok(Self {
             callers: bind(settings.callers)?,
             announce: bind(settings.announce)?,
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -4,8 +4,6 @@
 //! for as long as the daemon runs: a full disk may have room again.
 
 use std::cell::RefCell;
-use std::fmt;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,7 +11,6 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use monoio::net::TcpListener;
 
 use super::desk::Desk;
 use super::front::Front;
@@ -22,6 +19,7 @@
 use crate::log;
 use crate::rpc::{self, Fault, error};
 use crate::settings::fleet::{Control, Source};
+use crate::settings::{StartError, bind};
 use crate::signals::Signals;
 use crate::timeline::{Event, Journal};
 use crate::web;
@@ -56,26 +54,6 @@
 /// Connections at a time, well below the descriptors that a process may have.
 const CONNECTIONS: usize = 2000;
 
-/// Why the daemon could not start.
-#[derive(Debug)]
-pub enum StartError {
-    /// An address could not be bound.
-    Bind(SocketAddr, io::Error),
-    /// Signals could not be taken.
-    Signals(io::Error),
-}
-
-impl fmt::Display for StartError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Bind(address, error) => write!(f, "cannot listen on {address}: {error}"),
-            Self::Signals(error) => write!(f, "cannot take signals: {error}"),
-        }
-    }
-}
-
-impl std::error::Error for StartError {}
-
 /// The front while the log is open.
 type Slot = Rc<RefCell<Option<Rc<Front>>>>;
 
@@ -125,10 +103,6 @@
     Ok(())
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).map_err(|e| StartError::Bind(address, e))
-}
-
 /// Answers calls of other processes while the log is open.
 fn answerer(
     slot: &Slot,
--- a/src/fleet/desk.rs
+++ b/src/fleet/desk.rs
@@ -1,7 +1,7 @@
 //! The leader's desk: reports, leases, and changes of the table.
 
 use std::cell::{RefCell, RefMut};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,10 +9,9 @@
 
 use super::balance::Loads;
 use super::leases::Leases;
-use super::messages::{Granted, Lease, Leave, Renewal, Report, Seen};
+use super::messages::{Leave, Renewal, Report, Seen};
 use super::model::{Life, Server, Standing};
-use super::plan::{self, Candidate};
-use super::rows::Rows;
+use super::moves;
 use super::store::{Change, Store};
 use crate::clock;
 use crate::control::command::{Applied, Command};
@@ -30,7 +29,7 @@
 const EVEN_EVERY: Duration = Duration::from_secs(1);
 
 /// Silence after which a backend server gets no further keys: two heartbeats.
-const QUIET_AFTER: Duration = Duration::from_secs(2);
+pub(super) const QUIET_AFTER: Duration = Duration::from_secs(2);
 
 /// Silence after which one that holds no keys is taken for gone: longer than any cut.
 const FORGET_AFTER: Duration = Duration::from_secs(40);
@@ -44,9 +43,6 @@
 /// Part of a backend server's pace that one more sample leaves: some thirty samples count.
 const NEWEST: f64 = 0.97;
 
-/// Paces that are told apart; what lies beyond is a server in trouble, not a slow one.
-const PACES: (f64, f64) = (0.4, 3.0);
-
 /// Why the desk has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -74,15 +70,15 @@
 pub struct Desk {
     pub(super) log: log::Handle,
     pub(super) state: State,
-    journal: Journal,
+    pub(super) journal: Journal,
     /// Longest lease of a backend server.
     length: Duration,
     leases: RefCell<Option<Leases>>,
-    loads: RefCell<Loads>,
+    pub(super) loads: RefCell<Loads>,
     /// When the first report for a service came.
     first: RefCell<Option<Instant>>,
     /// Time that backend servers take for a request, against others of their service.
-    paces: RefCell<HashMap<ids::ServerName, f64>>,
+    pub(super) paces: RefCell<HashMap<ids::ServerName, f64>>,
 }
 
 impl Desk {
@@ -179,7 +175,7 @@
             return Err(Refusal::NotLeader);
         }
         self.leases(since).granted(&life, received);
-        let lease = self.fleet_ref(|store| lease(store, service, &life, self.length));
+        let lease = self.fleet_ref(|store| moves::lease(store, service, &life, self.length));
         Ok(Renewal {
             lease: Some(lease),
             next: None,
@@ -271,108 +267,6 @@
         self.journal.record(event.detail(reason));
     }
 
-    /// Names new holders where that is due.
-    async fn settle(
-        &self,
-        since: Instant,
-        service: &ids::ServiceName,
-        even: bool,
-    ) -> Result<(), Refusal> {
-        let spans = {
-            let now = clock::now();
-            let leases = self.leases(since);
-            let shares = self.loads.borrow().shares(service);
-            self.fleet_ref(|store| {
-                let rows = store.rows(service).cloned().unwrap_or_default();
-                let paces = self.paces.borrow();
-                let candidates = candidates(store, &leases, &paces, service, now);
-                plan::plan(&rows, &candidates, &shares, even)
-            })
-        };
-        if spans.is_empty() {
-            return Ok(());
-        }
-        let detail = format!("{} spans even={even}", spans.len());
-        let event = Event::new("fleet.release").service(service);
-        self.journal.record(event.detail(&detail));
-        let mut named: BTreeMap<Life, Vec<_>> = BTreeMap::new();
-        for span in spans {
-            named
-                .entry(span.next)
-                .or_default()
-                .push((span.from, span.to));
-        }
-        self.fleet(Change::Release {
-            service: Arc::clone(service),
-            spans: named.into_iter().collect(),
-        })
-        .await
-    }
-
-    /// Notes that a life has let go of keys that another is to hold.
-    async fn free(
-        &self,
-        since: Instant,
-        service: &ids::ServiceName,
-        life: &Life,
-    ) -> Result<(), Refusal> {
-        let spans: Vec<_> = {
-            let now = clock::now();
-            let leases = self.leases(since);
-            self.fleet_ref(|store| {
-                let rows = store.rows(service).into_iter().flat_map(Rows::iter);
-                let own = rows.filter(|r| r.holder.as_ref() == Some(life));
-                let free = own.filter(|r| leases.is_free(r, store, now));
-                free.map(|r| (r.from, r.to)).collect()
-            })
-        };
-        if spans.is_empty() {
-            return Ok(());
-        }
-        self.fleet(Change::Free {
-            service: Arc::clone(service),
-            life: life.clone(),
-            spans,
-        })
-        .await
-    }
-
-    /// Hands to a life the keys that it is the next holder of and that are free.
-    async fn assign(
-        &self,
-        since: Instant,
-        service: &ids::ServiceName,
-        life: &Life,
-    ) -> Result<(), Refusal> {
-        let spans: Vec<_> = {
-            let now = clock::now();
-            let leases = self.leases(since);
-            self.fleet_ref(|store| {
-                let rows = store.rows(service).into_iter().flat_map(Rows::iter);
-                let named = rows.filter(|r| r.next.as_ref().is_some_and(|n| n.life == *life));
-                let free = named.filter(|r| leases.is_free(r, store, now));
-                free.flat_map(|r| leases.handed(service, r)).collect()
-            })
-        };
-        if spans.is_empty() {
-            return Ok(());
-        }
-        for span in &spans {
-            self.leases(since).handed_on(service, span.from, span.to);
-        }
-        let event = Event::new("fleet.assign")
-            .service(service)
-            .server(&life.server);
-        self.journal
-            .record(event.detail(&format!("{} spans", spans.len())));
-        self.fleet(Change::Assign {
-            service: Arc::clone(service),
-            life: life.clone(),
-            spans,
-        })
-        .await
-    }
-
     /// Makes what a report says of its sender known, if it is new.
     async fn announce(&self, report: &Report) -> Result<(), Refusal> {
         let known = {
@@ -406,7 +300,7 @@
         self.fleet(Change::Stand { life, standing }).await
     }
 
-    async fn fleet(&self, change: Change) -> Result<(), Refusal> {
+    pub(super) async fn fleet(&self, change: Change) -> Result<(), Refusal> {
         self.put(Command::Fleet(change)).await.map(|_| ())
     }
 
@@ -418,7 +312,7 @@
         })
     }
 
-    fn fleet_ref<T, F>(&self, look: F) -> T
+    pub(super) fn fleet_ref<T, F>(&self, look: F) -> T
     where
         F: FnOnce(&Store) -> T,
     {
@@ -426,7 +320,7 @@
     }
 
     /// What is known of leases since this VM leads.
-    fn leases(&self, since: Instant) -> RefMut<'_, Leases> {
+    pub(super) fn leases(&self, since: Instant) -> RefMut<'_, Leases> {
         RefMut::map(self.leases.borrow_mut(), |leases| {
             let current = leases.take().filter(|l| l.since() == since);
             leases.insert(current.unwrap_or_else(|| Leases::new(self.length, since)))
@@ -439,47 +333,3 @@
         f.debug_struct("Desk").finish_non_exhaustive()
     }
 }
-
-/// Backend servers that may hold keys: those that take requests and whose lease lives.
-fn candidates(
-    store: &Store,
-    leases: &Leases,
-    paces: &HashMap<ids::ServerName, f64>,
-    service: &str,
-    now: Instant,
-) -> Vec<Candidate> {
-    let quiet = |s: &Server| leases.is_silent(&s.life, QUIET_AFTER, now);
-    let holds = |s: &Server| {
-        let mut rows = store.rows(service).into_iter().flat_map(Rows::iter);
-        rows.any(|r| r.holder.as_ref() == Some(&s.life) && r.next.is_none())
-    };
-    let lives = |s: &Server| !quiet(s) || (holds(s) && !leases.has_ended(&s.life, store, now));
-    let ready = store
-        .of(service)
-        .filter(|s| s.standing == Standing::Ready && lives(s));
-    let pace = |life: &Life| {
-        let pace = paces.get(&life.server).copied().unwrap_or(1.0);
-        pace.clamp(PACES.0, PACES.1)
-    };
-    let candidate = |s: &Arc<Server>| Candidate {
-        life: s.life.clone(),
-        weight: f64::from(s.slots.max(1)) / pace(&s.life),
-    };
-    ready.map(candidate).collect()
-}
-
-/// All that a life is to hold.
-fn lease(store: &Store, service: &str, life: &Life, length: Duration) -> Lease {
-    let rows = store.rows(service).into_iter().flat_map(Rows::iter);
-    let own = rows.filter(|r| r.holder.as_ref() == Some(life) && r.next.is_none());
-    let grant = |r: &super::Row| Granted {
-        from: r.from,
-        to: r.to,
-        fence: r.fence,
-        token: r.token.clone(),
-    };
-    Lease {
-        grants: own.map(grant).collect(),
-        length,
-    }
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod leases;
 pub mod messages;
 pub mod model;
+pub mod moves;
 pub mod news;
 pub mod plan;
 pub mod rows;
--- /dev/null
+++ b/src/fleet/moves.rs
@@ -0,0 +1,175 @@
+//! How keys change hands, on the leader's desk.
+//!
+//! [`Desk::settle`] names the next holders that a [plan](plan) finds,
+//! [`Desk::free`] notes that a holder has let go, and [`Desk::assign`] hands the
+//! keys to the next one once nobody else can hold them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::desk::{Desk, QUIET_AFTER, Refusal};
+use super::leases::Leases;
+use super::messages::{Granted, Lease};
+use super::model::{Life, Row, Server, Standing};
+use super::plan::{self, Candidate};
+use super::rows::Rows;
+use super::store::{Change, Store};
+use crate::clock;
+use crate::ids;
+use crate::timeline::Event;
+
+/// Paces that are told apart; what lies beyond is a server in trouble, not a slow one.
+const PACES: (f64, f64) = (0.4, 3.0);
+
+impl Desk {
+    /// Names new holders where that is due.
+    pub(super) async fn settle(
+        &self,
+        since: Instant,
+        service: &ids::ServiceName,
+        even: bool,
+    ) -> Result<(), Refusal> {
+        let spans = {
+            let now = clock::now();
+            let leases = self.leases(since);
+            let shares = self.loads.borrow().shares(service);
+            self.fleet_ref(|store| {
+                let rows = store.rows(service).cloned().unwrap_or_default();
+                let paces = self.paces.borrow();
+                let candidates = candidates(store, &leases, &paces, service, now);
+                plan::plan(&rows, &candidates, &shares, even)
+            })
+        };
+        if spans.is_empty() {
+            return Ok(());
+        }
+        let detail = format!("{} spans even={even}", spans.len());
+        let event = Event::new("fleet.release").service(service);
+        self.journal.record(event.detail(&detail));
+        let mut named: BTreeMap<Life, Vec<_>> = BTreeMap::new();
+        for span in spans {
+            named
+                .entry(span.next)
+                .or_default()
+                .push((span.from, span.to));
+        }
+        self.fleet(Change::Release {
+            service: Arc::clone(service),
+            spans: named.into_iter().collect(),
+        })
+        .await
+    }
+
+    /// Notes that a life has let go of keys that another is to hold.
+    pub(super) async fn free(
+        &self,
+        since: Instant,
+        service: &ids::ServiceName,
+        life: &Life,
+    ) -> Result<(), Refusal> {
+        let own = |r: &Row| r.holder.as_ref() == Some(life);
+        let rows = self.free_rows(since, service, own);
+        if rows.is_empty() {
+            return Ok(());
+        }
+        self.fleet(Change::Free {
+            service: Arc::clone(service),
+            life: life.clone(),
+            spans: rows.iter().map(|r| (r.from, r.to)).collect(),
+        })
+        .await
+    }
+
+    /// Hands to a life the keys that it is the next holder of and that are free.
+    pub(super) async fn assign(
+        &self,
+        since: Instant,
+        service: &ids::ServiceName,
+        life: &Life,
+    ) -> Result<(), Refusal> {
+        let named = |r: &Row| r.next.as_ref().is_some_and(|n| n.life == *life);
+        let rows = self.free_rows(since, service, named);
+        if rows.is_empty() {
+            return Ok(());
+        }
+        let spans: Vec<_> = {
+            let mut leases = self.leases(since);
+            let handed = rows.iter().flat_map(|r| leases.handed(service, r));
+            let spans = handed.collect();
+            for row in &rows {
+                leases.handed_on(service, row.from, row.to);
+            }
+            spans
+        };
+        let event = Event::new("fleet.assign")
+            .service(service)
+            .server(&life.server);
+        self.journal
+            .record(event.detail(&format!("{} spans", spans.len())));
+        self.fleet(Change::Assign {
+            service: Arc::clone(service),
+            life: life.clone(),
+            spans,
+        })
+        .await
+    }
+
+    /// Rows that are wanted and whose holder is proved to hold them no more.
+    fn free_rows<F>(&self, since: Instant, service: &str, wanted: F) -> Vec<Row>
+    where
+        F: Fn(&Row) -> bool,
+    {
+        let now = clock::now();
+        let leases = self.leases(since);
+        self.fleet_ref(|store| {
+            let rows = store.rows(service).into_iter().flat_map(Rows::iter);
+            let free = rows.filter(|r| wanted(r) && leases.is_free(r, store, now));
+            free.cloned().collect()
+        })
+    }
+}
+
+/// Backend servers that may hold keys: those that take requests and whose lease lives.
+fn candidates(
+    store: &Store,
+    leases: &Leases,
+    paces: &HashMap<ids::ServerName, f64>,
+    service: &str,
+    now: Instant,
+) -> Vec<Candidate> {
+    let quiet = |s: &Server| leases.is_silent(&s.life, QUIET_AFTER, now);
+    let holds = |s: &Server| {
+        let mut rows = store.rows(service).into_iter().flat_map(Rows::iter);
+        rows.any(|r| r.holder.as_ref() == Some(&s.life) && r.next.is_none())
+    };
+    let lives = |s: &Server| !quiet(s) || (holds(s) && !leases.has_ended(&s.life, store, now));
+    let ready = store
+        .of(service)
+        .filter(|s| s.standing == Standing::Ready && lives(s));
+    let pace = |life: &Life| {
+        let pace = paces.get(&life.server).copied().unwrap_or(1.0);
+        pace.clamp(PACES.0, PACES.1)
+    };
+    let candidate = |s: &Arc<Server>| Candidate {
+        life: s.life.clone(),
+        weight: f64::from(s.slots.max(1)) / pace(&s.life),
+    };
+    ready.map(candidate).collect()
+}
+
+/// All that a life is to hold.
+pub(super) fn lease(store: &Store, service: &str, life: &Life, length: Duration) -> Lease {
+    let rows = store.rows(service).into_iter().flat_map(Rows::iter);
+    let own = rows.filter(|r| r.holder.as_ref() == Some(life) && r.next.is_none());
+    let grant = |r: &Row| Granted {
+        from: r.from,
+        to: r.to,
+        fence: r.fence,
+        token: r.token.clone(),
+    };
+    Lease {
+        grants: own.map(grant).collect(),
+        length,
+    }
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,9 +14,9 @@
 use super::follow::{self, Seeds};
 use super::{Gate, Names, caller};
 use crate::clock;
-use crate::fleet::daemon::StartError;
 use crate::fleet::{Part, Vm};
 use crate::settings::fleet::{Entry, Source};
+use crate::settings::{StartError, bind};
 use crate::signals::Signals;
 use crate::timeline::{Event, Journal};
 use crate::web::{self, guard};
@@ -66,10 +65,6 @@
     Ok(())
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).map_err(|e| StartError::Bind(address, e))
-}
-
 /// Accepts callers for as long as the process runs.
 async fn accept(listener: TcpListener, gate: Rc<Gate>) {
     loop {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -13,7 +13,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use start::start;
+pub use start::{StartError, bind, start};
 
 use std::fmt;
 use std::fs;
--- a/src/settings/start.rs
+++ b/src/settings/start.rs
@@ -1,12 +1,45 @@
 //! From loaded settings to a running daemon.
 
 use std::fmt;
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
+use monoio::net::TcpListener;
+
 use super::logging::{self, Logging};
 use super::{EXIT_CODE, SettingsError};
 use crate::runtime;
 
+/// Why the daemon could not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address could not be bound.
+    Bind(SocketAddr, io::Error),
+    /// Signals could not be taken.
+    Signals(io::Error),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind(address, error) => write!(f, "cannot listen on {address}: {error}"),
+            Self::Signals(error) => write!(f, "cannot take signals: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// [`StartError::Bind`] names the address.
+pub fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).map_err(|e| StartError::Bind(address, e))
+}
+
 /// Sets up the log and runs a daemon until it ends.
 ///
 /// Whatever prevents the start is written to standard error in one line, and
