--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -108,3 +108,49 @@
     assert!(time.starts_with("time=20") && time.ends_with('Z'), "{time}");
     assert!(!text.contains("event=hidden"));
 }
+
+/// Settings of a control VM of a fleet with one seed.
+fn fleet_text(seed: &str) -> String {
+    format!(
+        r#"{{"vm":"c1","zone":"z","peer":"10.0.0.1:70","control":"10.0.0.1:80","seeds":["{seed}"],
+            "founding":true,"data":"/data","lease":"10s"}}"#
+    )
+}
+
+#[test]
+fn fleet_settings_are_read_again_with_a_signal_and_without_one() {
+    let folder = tempfile::TempDir::new().unwrap();
+    let path = folder.path().join("settings.json");
+    std::fs::write(&path, fleet_text("10.0.0.2:80")).unwrap();
+    let source = super::fleet::Source::<super::fleet::Control>::load(&path).unwrap();
+    let seeds = |s: &super::fleet::Control| s.seeds().map(|a| a.to_string()).collect::<Vec<_>>();
+    assert_eq!(seeds(source.first()), ["10.0.0.2:70"]);
+    let mut watch = source.watch();
+    let mut look = |now| {
+        watch
+            .changed::<super::fleet::Control>(now)
+            .map(|s| seeds(&s))
+    };
+    assert_eq!(look(true), None, "nothing changed");
+    std::fs::write(&path, fleet_text("10.0.0.3:80")).unwrap();
+    assert_eq!(look(true).unwrap(), ["10.0.0.3:70"], "a signal");
+    std::fs::write(&path, "{ not settings").unwrap();
+    assert_eq!(look(true), None, "what can't be read changes nothing");
+    std::fs::write(&path, fleet_text("10.0.0.4:80")).unwrap();
+    crate::clock::advance(std::time::Duration::from_secs(2));
+    assert_eq!(look(false).unwrap(), ["10.0.0.4:70"], "no signal");
+}
+
+#[test]
+fn fleet_settings_that_lack_a_key_name_it() {
+    let folder = tempfile::TempDir::new().unwrap();
+    let path = folder.path().join("settings.json");
+    let text = fleet_text("10.0.0.2:80").replace("\"founding\":true,", "");
+    std::fs::write(&path, text).unwrap();
+    let error = super::fleet::Source::<super::fleet::Control>::load(&path).unwrap_err();
+    let said = error.to_string();
+    assert!(
+        said.contains("settings.json") && said.contains("founding"),
+        "{said}"
+    );
+}
