Bound connections, hold reports back for keys, notice dead ends, pack news

Keys between two holders waited for the next report of the new one (0.43 s on average). A dead end on a kept connection was noticed at a request's time-out only. After a loss of all, 77 entry VMs asked for all there is at once; four control VMs were busy writing JSON, the leader stepped down, and nothing was served for 3 s.

Change: idle connections and requests under way share one limit. The leader holds the answer to a report back for up to 0.6 s while keys named for its sender are about to be free. Connections to backend servers break after 0.8 s without acknowledgement. All there is goes packed (zlib), made once for all that ask within 0.2 s; VMs go as changes; entry VMs that start wait at a control VM for a leader. A later grant is not shortened by an earlier report that is answered last (found by reading; test failed first).

--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -14,6 +14,7 @@
 
 use super::desk::Desk;
 use super::front::Front;
+use super::leases;
 use super::model::{Part, Vm};
 use crate::control::state::State;
 use crate::log;
@@ -33,12 +34,6 @@
 /// Shortest time without a leader before an election: some lost or late heartbeats.
 const ELECTION: Duration = Duration::from_millis(700);
 
-/// Lease of a backend server, unless it takes only shorter ones.
-///
-/// The keys of one that crashed are dark for so long, and an election with the
-/// heartbeats that miss it must fit in.
-const LEASE: Duration = Duration::from_millis(3500);
-
 /// Pause before a log that could not be opened, or has stopped, is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -147,7 +142,7 @@
             return None;
         }
     };
-    let lease = settings.lease.min(LEASE);
+    let lease = settings.lease.min(leases::LONGEST);
     let desk = Desk::new(handle.clone(), state, journal.clone(), lease);
     monoio::spawn(Rc::clone(&desk).run());
     let front = Front::new(desk, settings.control, journal.clone());
--- a/src/fleet/desk.rs
+++ b/src/fleet/desk.rs
@@ -19,6 +19,7 @@
 use crate::control::state::State;
 use crate::ids;
 use crate::log;
+use crate::notify::Notify;
 use crate::table;
 use crate::timeline::{Event, Journal};
 
@@ -34,6 +35,11 @@
 /// Silence after which one that holds no keys is taken for gone: longer than any cut.
 const FORGET_AFTER: Duration = Duration::from_secs(40);
 
+/// Longest that the answer to a report is held back for keys that are about to be free.
+///
+/// A backend server waits a second for it, of which a detour over another VM takes a part.
+const HELD_BACK: Duration = Duration::from_millis(600);
+
 /// Time that the first backend servers get to report before keys are dealt out.
 const GATHER: Duration = Duration::from_millis(2500);
 
@@ -77,6 +83,8 @@
     pub(super) loads: RefCell<Loads>,
     /// When the first report for a service came.
     first: RefCell<Option<Instant>>,
+    /// Reports whose answers are held back for keys that are about to be free.
+    pub(super) waiting: RefCell<HashMap<Life, Rc<Notify>>>,
     /// Time that backend servers take for a request, against others of their service.
     pub(super) paces: RefCell<HashMap<ids::ServerName, f64>>,
 }
@@ -93,6 +101,7 @@
             loads: RefCell::default(),
             first: RefCell::default(),
             paces: RefCell::default(),
+            waiting: RefCell::default(),
         })
     }
 
@@ -167,7 +176,11 @@
         self.free(since, service, &life).await?;
         let standing = self.fleet_ref(|store| store.life(&life).map(|s| s.standing));
         match standing {
-            Some(Standing::Ready) => self.assign(since, service, &life).await?,
+            Some(Standing::Ready) => {
+                self.assign(since, service, &life).await?;
+                self.await_keys(since, service, &life, received + HELD_BACK)
+                    .await?;
+            }
             Some(_) => self.settle(since, service, false).await?,
             None => return Ok(Renewal::default()),
         }
@@ -231,6 +244,7 @@
         let first = *self.first.borrow();
         let gathered = first.is_some_and(|f| clock::now() >= f + GATHER);
         for service in services.iter().filter(|_| gathered) {
+            self.wake_waiting(since, service);
             if let Err(refusal) = self.settle(since, service, even).await {
                 ::log::warn!("event=fleet.plan service={service:?} refused={refusal:?}");
             }
--- a/src/fleet/front.rs
+++ b/src/fleet/front.rs
@@ -20,7 +20,7 @@
 use super::desk::{Desk, Refusal};
 use super::messages::{self, Leave, Pace, Renewal, Report, Seen};
 use super::model::{Life, Part, Standing, Vm};
-use super::news::{self, News, Poll};
+use super::news::{self, News, Poll, Told};
 use crate::clock;
 use crate::ids;
 use crate::rpc::{self, Answer, CallError, Fault, error, server};
@@ -42,6 +42,14 @@
 /// Time between looks whether the log is applied far enough; entries without commands wake nobody.
 const REACH_LOOK: Duration = Duration::from_millis(20);
 
+/// How long an entry VM that starts waits here for a leader: some control VMs may be cut
+/// off from it, and the next one is asked after this.
+const LEADER_HOLD: Duration = Duration::from_millis(400);
+
+/// How long packed news are given to entry VMs that start: many do at once, and
+/// what they miss is the next answer.
+const PACKED_FRESH: Duration = Duration::from_millis(200);
+
 /// Pause before a VM that could not be made known is tried again.
 const INTRODUCE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -59,6 +67,13 @@
     paces: RefCell<Vec<Pace>>,
     introducing: RefCell<HashSet<ids::VmName>>,
     passed: RefCell<HashMap<Life, Instant>>,
+    packed: RefCell<Option<Packed>>,
+}
+
+/// All there was, as it is sent to entry VMs that start.
+struct Packed {
+    made: Instant,
+    news: Arc<str>,
 }
 
 impl Front {
@@ -73,6 +88,7 @@
             paces: RefCell::default(),
             introducing: RefCell::default(),
             passed: RefCell::default(),
+            packed: RefCell::default(),
         })
     }
 
@@ -232,22 +248,64 @@
     }
 
     /// Answers an entry VM once something changed, or after a while.
-    async fn poll(self: &Rc<Self>, poll: Poll) -> Result<News, Refusal> {
+    async fn poll(self: &Rc<Self>, poll: Poll) -> Result<Told, Refusal> {
         self.note(&poll);
         let end = clock::now() + POLL_HOLD;
+        if poll.have == 0 {
+            self.await_leader().await;
+        }
         loop {
             if !self.desk.log.is_current() {
                 return Err(Refusal::NotLeader);
             }
+            if let Some(packed) = self.packed(poll.have) {
+                return Ok(packed);
+            }
             let news = self.news(poll.have);
             let left = end.saturating_duration_since(clock::now());
             if !news.is_empty() || left.is_zero() || news.index < poll.have {
-                return Ok(news);
+                return Ok(self.told(news));
             }
             self.desk.state.changed.wait(left).await;
         }
     }
 
+    /// Waits a while for a leader, so that entry VMs that start don't ask all control VMs in turn.
+    async fn await_leader(&self) {
+        let end = clock::now() + LEADER_HOLD;
+        while !self.desk.log.is_current() && clock::now() < end {
+            monoio::time::sleep(REACH_LOOK).await;
+        }
+    }
+
+    /// All there is, packed a moment ago, for an entry VM that knows nothing; it
+    /// asks for what changed since.
+    fn packed(&self, have: ids::LogIndex) -> Option<Told> {
+        let packed = self.packed.borrow();
+        let fresh = |p: &&Packed| clock::now() < p.made + PACKED_FRESH;
+        let packed = packed.as_ref().filter(|_| have == 0).filter(fresh)?;
+        Some(Told::Packed(Arc::clone(&packed.news)))
+    }
+
+    fn told(&self, news: News) -> Told {
+        if !news.whole {
+            return Told::Plain(news);
+        }
+        match news::pack(&news) {
+            Ok(text) => {
+                *self.packed.borrow_mut() = Some(Packed {
+                    made: clock::now(),
+                    news: Arc::clone(&text),
+                });
+                Told::Packed(text)
+            }
+            Err(error) => {
+                log::warn!("event=fleet.unpacked error={:?}", error.to_string());
+                Told::Plain(news)
+            }
+        }
+    }
+
     fn news(&self, have: ids::LogIndex) -> News {
         let state = &self.desk.state;
         let index = self.desk.log.applied();
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -13,9 +13,18 @@
 use super::store::Store;
 use crate::ids;
 
+/// Lease of a backend server, unless it takes only shorter ones.
+///
+/// The keys of one that crashed are dark for so long, and an election with the
+/// heartbeats that miss it must fit in.
+pub const LONGEST: Duration = Duration::from_millis(3500);
+
 /// Longest lease with what the clock of a backend server may run slow: 2 %, and as much again.
 const CLOCK_SLACK: f64 = 1.04;
 
+/// Time in which a backend server that lives reports again: a heartbeat, and some delay.
+const REPORTS: Duration = Duration::from_millis(1200);
+
 /// Freed spans that are kept for each service; older ones are long handed on.
 const FREED_SPANS: usize = 512;
 
@@ -93,7 +102,10 @@
     pub fn granted(&mut self, life: &Life, received: Instant) {
         let known = self.known.get_mut(&life.server);
         if let Some(known) = known.filter(|k| k.life == *life) {
-            known.ends = Some(received + self.length.mul_f64(CLOCK_SLACK));
+            // An answer to an earlier report may be given after that to a later one.
+            known.ends = known
+                .ends
+                .max(Some(received + self.length.mul_f64(CLOCK_SLACK)));
         }
     }
 
@@ -131,6 +143,15 @@
         released || self.has_ended(holder, store, now)
     }
 
+    /// Whether the present holder of a row is likely to be proved to hold it no more by `until`.
+    pub fn is_free_by(&self, row: &Row, until: Instant, now: Instant) -> bool {
+        let known = row.holder.as_ref().and_then(|holder| {
+            let known = self.known.get(&holder.server);
+            known.filter(|k| k.life == *holder)
+        });
+        known.is_some_and(|k| now < k.received + REPORTS || k.ends.is_some_and(|e| e <= until))
+    }
+
     /// Spans of a row with what was handed over for each.
     pub fn handed(&self, service: &str, row: &Row) -> Vec<Assigned> {
         let freed = self.freed.get(service);
--- a/src/fleet/moves.rs
+++ b/src/fleet/moves.rs
@@ -5,6 +5,7 @@
 //! keys to the next one once nobody else can hold them.
 
 use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -78,7 +79,9 @@
             life: life.clone(),
             spans: rows.iter().map(|r| (r.from, r.to)).collect(),
         })
-        .await
+        .await?;
+        self.wake_waiting(since, service);
+        Ok(())
     }
 
     /// Hands to a life the keys that it is the next holder of and that are free.
@@ -115,6 +118,60 @@
         .await
     }
 
+    /// Hands to a life the keys that it is the next holder of and that become free until `end`.
+    ///
+    /// Otherwise they would have no holder until its next report.
+    pub(super) async fn await_keys(
+        &self,
+        since: Instant,
+        service: &ids::ServiceName,
+        life: &Life,
+        end: Instant,
+    ) -> Result<(), Refusal> {
+        while self.expects_keys(since, service, life, end) {
+            let left = end.saturating_duration_since(clock::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            let waiting = {
+                let mut waiting = self.waiting.borrow_mut();
+                Rc::clone(waiting.entry(life.clone()).or_default())
+            };
+            if !waiting.wait(left).await {
+                self.waiting.borrow_mut().retain(|_, w| w.waiting() > 0);
+            }
+            self.assign(since, service, life).await?;
+        }
+        Ok(())
+    }
+
+    /// Wakes the reports that wait for keys of a service that are free now.
+    pub(super) fn wake_waiting(&self, since: Instant, service: &str) {
+        if self.waiting.borrow().is_empty() {
+            return;
+        }
+        for row in self.free_rows(since, service, |r| r.next.is_some()) {
+            let woken = row
+                .next
+                .and_then(|n| self.waiting.borrow_mut().remove(&n.life));
+            woken.iter().for_each(|w| w.wake());
+        }
+    }
+
+    /// Whether a life is likely to get keys by `end`, and has none to let go of before that.
+    fn expects_keys(&self, since: Instant, service: &str, life: &Life, end: Instant) -> bool {
+        let now = clock::now();
+        let leases = self.leases(since);
+        let lets_go = |r: &Row| r.next.is_some() && r.holder.as_ref() == Some(life);
+        let gets = |r: &Row| {
+            r.next.as_ref().is_some_and(|n| n.life == *life) && leases.is_free_by(r, end, now)
+        };
+        self.fleet_ref(|store| {
+            let rows = || store.rows(service).into_iter().flat_map(Rows::iter);
+            rows().any(gets) && !rows().any(lets_go)
+        })
+    }
+
     /// Rows that are wanted and whose holder is proved to hold them no more.
     fn free_rows<F>(&self, since: Instant, service: &str, wanted: F) -> Vec<Row>
     where
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -1,7 +1,14 @@
 //! What changed since a log position, for entry VMs.
 
+use std::fmt;
+use std::io::{self, Read, Write};
 use std::sync::Arc;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
 use serde::{Deserialize, Serialize};
 
 use super::model::{Key, Row, Server, Standing, Vm};
@@ -91,7 +98,7 @@
     /// Rows that changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub holders: Vec<Holders>,
-    /// All VMs, if any changed.
+    /// VMs that changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub vms: Vec<Vm>,
 }
@@ -107,6 +114,73 @@
     }
 }
 
+/// Bytes that news may have when unpacked: far more than any fleet of today.
+const UNPACKED_BYTES: u64 = 256 << 20;
+
+/// News as they are sent.
+///
+/// All there is goes packed: it is long, the same for every entry VM that
+/// starts, and the links of entry VMs are narrow.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Told {
+    /// What changed.
+    Plain(News),
+    /// All there is: JSON, in the zlib format, in base64.
+    Packed(Arc<str>),
+}
+
+/// Why packed news can't be read.
+#[derive(Debug)]
+pub enum UnpackError {
+    /// They are not base64.
+    Text(base64::DecodeError),
+    /// They can't be inflated.
+    Zlib(io::Error),
+    /// They are not news.
+    Json(serde_json::Error),
+}
+
+impl fmt::Display for UnpackError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Text(error) => write!(f, "packed news: {error}"),
+            Self::Zlib(error) => write!(f, "packed news: {error}"),
+            Self::Json(error) => write!(f, "packed news: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for UnpackError {}
+
+/// Packs news.
+///
+/// # Errors
+///
+/// The codec's error.
+pub fn pack(news: &News) -> io::Result<Arc<str>> {
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&serde_json::to_vec(news)?)?;
+    Ok(STANDARD.encode(encoder.finish()?).into())
+}
+
+/// News that were told.
+///
+/// # Errors
+///
+/// [`UnpackError`] if they can't be read.
+pub fn unpack(told: Told) -> Result<News, UnpackError> {
+    let packed = match told {
+        Told::Plain(news) => return Ok(news),
+        Told::Packed(packed) => packed,
+    };
+    let bytes = STANDARD.decode(&*packed).map_err(UnpackError::Text)?;
+    let mut json = Vec::new();
+    let mut decoder = ZlibDecoder::new(&*bytes).take(UNPACKED_BYTES);
+    decoder.read_to_end(&mut json).map_err(UnpackError::Zlib)?;
+    serde_json::from_slice(&json).map_err(UnpackError::Json)
+}
+
 /// What changed after `have`; `index` is the position that the stores reflect.
 pub fn since(
     have: ids::LogIndex,
@@ -120,7 +194,7 @@
     let changed = store.servers.values().filter(|d| is_new(d.changed));
     let servers = changed.map(|d| &d.value);
     let holders = store.rows.iter().filter(|(_, r)| is_new(r.changed));
-    let moved = store.vms.values().any(|d| is_new(d.changed));
+    let vms = store.vms.values().filter(|d| is_new(d.changed));
     News {
         index,
         whole,
@@ -139,6 +213,6 @@
                     .collect(),
             })
             .collect(),
-        vms: store.vms().filter(|_| moved).cloned().collect(),
+        vms: vms.map(|d| d.value.clone()).collect(),
     }
 }
--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -134,3 +134,17 @@
     leases.handed_on("s", 0, 9);
     assert_eq!(handed(&leases), [(0, 9, None)]);
 }
+
+#[test]
+fn an_earlier_report_that_is_answered_last_shortens_no_lease() {
+    let (store, row) = world();
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let mut leases = Leases::new(LENGTH, now);
+    leases.take(&report("a", 1, &[(0, 9)]), 5, now);
+    leases.take(&report("a", 2, &[(0, 9)]), 5, later);
+    leases.granted(&life("a", 1), later);
+    leases.granted(&life("a", 1), now);
+    assert!(!leases.is_free(&row, &store, now + OVER));
+    assert!(leases.is_free(&row, &store, later + OVER));
+}
--- a/src/fleet/tests/news.rs
+++ b/src/fleet/tests/news.rs
@@ -1,6 +1,6 @@
 use super::{life, server};
 use crate::fleet::news;
-use crate::fleet::{Change, Standing, Store};
+use crate::fleet::{Change, Part, Standing, Store, Vm};
 use crate::table;
 
 fn stand(name: &str, standing: Standing) -> Change {
@@ -62,3 +62,34 @@
         .collect();
     assert_eq!(rows, [(5, 9)]);
 }
+
+#[test]
+fn all_there_is_comes_out_as_it_was_packed() {
+    let mut store = Store::default();
+    let table = table::Store::default();
+    store.apply(1, Change::Announce(server("a", 1, 1)));
+    store.apply(2, Change::Announce(server("b", 1, 2)));
+    let news = news::since(0, 2, &table, &store);
+    let told = news::Told::Packed(news::pack(&news).unwrap());
+    let unpacked = news::unpack(told).unwrap();
+    assert_eq!(unpacked.servers, news.servers);
+    assert!(unpacked.whole);
+    assert!(news::unpack(news::Told::Packed("not base64!".into())).is_err());
+    assert!(news::unpack(news::Told::Packed("AAAA".into())).is_err());
+}
+
+#[test]
+fn only_vms_that_changed_are_news() {
+    let mut store = Store::default();
+    let table = table::Store::default();
+    let vm = |name: &str, port| Vm {
+        name: name.into(),
+        zone: "z".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        part: Part::Entry,
+    };
+    store.apply(1, Change::Vm(vm("a", 1)));
+    store.apply(2, Change::Vm(vm("b", 2)));
+    assert_eq!(news::since(1, 2, &table, &store).vms, [vm("b", 2)]);
+    assert_eq!(news::since(0, 2, &table, &store).vms.len(), 2);
+}
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -62,6 +62,8 @@
     faults: Cell<f64>,
     failures: Cell<u32>,
     resting: Cell<Option<Instant>>,
+    /// Since when it could not be reached.
+    dark: Cell<Option<Instant>>,
 }
 
 impl Backend {
@@ -81,6 +83,7 @@
             faults: Cell::new(0.0),
             failures: Cell::new(0),
             resting: Cell::new(None),
+            dark: Cell::new(None),
         })
     }
 
@@ -159,6 +162,7 @@
         let now = clock::now();
         self.silent
             .set(Some(now).filter(|_| self.in_flight.get() > 0));
+        self.dark.set(None);
         if !failed {
             self.failures.set(0);
             self.resting.set(None);
@@ -184,6 +188,10 @@
 
     /// Notes that it could not be reached.
     pub fn unreached(&self) {
+        self.idle.borrow_mut().clear();
+        if self.dark.get().is_none() {
+            self.dark.set(Some(clock::now()));
+        }
         self.failures.set(self.failures.get().max(1));
         self.failed(true);
     }
@@ -201,6 +209,11 @@
         }
     }
 
+    /// Since when it could not be reached, if that is so.
+    pub fn dark_since(&self) -> Option<Instant> {
+        self.dark.get()
+    }
+
     /// Gives it no requests for a while.
     pub fn rest(&self, time: Duration) {
         self.resting.set(Some(clock::now() + time));
@@ -224,13 +237,28 @@
         None
     }
 
-    /// Keeps a connection that has just answered.
-    pub fn put(&self, wire: Wire, told: Option<Duration>) {
+    /// Closes idle connections until one more fits into `connections`.
+    pub fn make_room(&self, connections: u32) {
+        let mut idle = self.idle.borrow_mut();
+        let excess = self.open(idle.len()).saturating_sub(connections);
+        let excess = usize::try_from(excess).unwrap_or(usize::MAX);
+        let first = excess.min(idle.len());
+        idle.drain(..first);
+    }
+
+    /// Connections to it, if each request under way has one.
+    fn open(&self, idle: usize) -> u32 {
+        let idle = u32::try_from(idle).unwrap_or(u32::MAX);
+        idle.saturating_add(self.in_flight.get())
+    }
+
+    /// Keeps a connection that has just answered, if that makes no more than `connections`.
+    pub fn put(&self, wire: Wire, told: Option<Duration>, connections: u32) {
         let now = clock::now();
         let keep = told.map_or(IDLE_UNTOLD, |t| t.mul_f64(IDLE_PART));
         let mut idle = self.idle.borrow_mut();
         idle.retain(|i| now < i.until);
-        if idle.len() < IDLE_KEPT {
+        if idle.len() < IDLE_KEPT && self.open(idle.len()) <= connections {
             idle.push(Idle {
                 wire,
                 since: now,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -25,6 +25,10 @@
 /// Longest wait for a connection: some round trips; the second opening packet comes after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long the other end may leave bytes without acknowledgement: a lost packet is sent
+/// again after some 0.2 and 0.6 s, and a dead end acknowledges nothing.
+const SILENT_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Bytes of an answer that are held back until all of it is there, so that one
 /// which breaks off can be asked for again.
 pub const HELD_BYTES: usize = 64 << 10;
@@ -90,6 +94,8 @@
     pub deadline: Instant,
     /// How lately a kept connection must have answered.
     pub kept: Duration,
+    /// Connections that this VM may have to the backend server.
+    pub connections: u32,
 }
 
 /// Sends a request and waits for its answer.
@@ -116,7 +122,7 @@
     let fresh = kept.is_none();
     let mut wire = match kept {
         Some(wire) => wire,
-        None => match connect(backend).await {
+        None => match connect(backend, sending.connections).await {
             Ok(wire) => wire,
             Err(reason) => return Outcome::NotSent(reason),
         },
@@ -144,10 +150,11 @@
     receive(backend, sending, wire, fresh, whole, underway).await
 }
 
-async fn connect(backend: &Backend) -> Result<Wire, &'static str> {
+async fn connect(backend: &Backend, connections: u32) -> Result<Wire, &'static str> {
+    backend.make_room(connections);
     let connect = TcpStream::connect_addr(backend.server().address);
     match time::timeout(CONNECT_TIMEOUT, connect).await {
-        Ok(Ok(stream)) => Ok(Wire::new(stream)),
+        Ok(Ok(stream)) => Ok(Wire::watched(stream, SILENT_TIMEOUT)),
         Ok(Err(_)) => Err("it refused the connection"),
         Err(_) => Err("it did not take the connection in time"),
     }
@@ -233,7 +240,14 @@
             return Outcome::Broken("its answer broke off");
         };
         if parts.headers.contains_key(&sending.names.refused) {
-            keep(backend, wire, &parts.headers, &body, whole && strays == 0);
+            keep(
+                backend,
+                sending,
+                wire,
+                &parts.headers,
+                &body,
+                whole && strays == 0,
+            );
             return match parts.status {
                 StatusCode::MISDIRECTED_REQUEST => Outcome::Elsewhere,
                 _ => Outcome::Full(head::load(&parts.headers, sending.names)),
@@ -261,7 +275,14 @@
                 Held::Whole(first)
             };
             let response = response(held);
-            keep(backend, wire, &parts.headers, &body, whole && strays == 0);
+            keep(
+                backend,
+                sending,
+                wire,
+                &parts.headers,
+                &body,
+                whole && strays == 0,
+            );
             return Outcome::Answered(response);
         }
         let rest = Rest {
@@ -318,7 +339,14 @@
 }
 
 /// Keeps a connection for later if nothing speaks against it.
-fn keep(backend: &Backend, wire: Wire, headers: &http::HeaderMap, body: &BodyReader, clean: bool) {
+fn keep(
+    backend: &Backend,
+    sending: &Sending<'_>,
+    wire: Wire,
+    headers: &http::HeaderMap,
+    body: &BodyReader,
+    clean: bool,
+) {
     let framed = headers.contains_key(header::CONTENT_LENGTH)
         || headers.contains_key(header::TRANSFER_ENCODING);
     let closes = headers.get_all(header::CONNECTION).iter();
@@ -326,6 +354,6 @@
         .filter_map(|v| v.to_str().ok())
         .any(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case("close")));
     if clean && framed && !closes && body.is_done() && wire.is_quiet() {
-        backend.put(wire, head::keep_alive(headers));
+        backend.put(wire, head::keep_alive(headers), sending.connections);
     }
 }
--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -72,8 +72,13 @@
             let rows = self.rows.entry(holders.service).or_default();
             lay_over(rows, holders.rows);
         }
-        if !news.vms.is_empty() {
-            self.vms = news.vms;
+        if news.whole {
+            self.vms.clear();
+        }
+        for vm in news.vms {
+            self.vms
+                .retain(|v| v.name != vm.name && v.address != vm.address);
+            self.vms.push(vm);
         }
         true
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -16,7 +16,7 @@
 use super::known::Holder;
 use super::{Gate, count};
 use crate::clock;
-use crate::fleet::Key;
+use crate::fleet::{Key, leases};
 use crate::ids;
 use crate::table::lookup;
 use crate::table::{Repeat, Route};
@@ -40,6 +40,10 @@
 /// When to come back if a key is moving: about a heartbeat.
 const MOVE_AFTER: Duration = Duration::from_millis(400);
 
+/// Time after which the keys of a holder that can't be reached have another one, if
+/// that is possible at all.
+const DARK_TIME: Duration = leases::LONGEST.saturating_add(Duration::from_millis(400));
+
 /// When to come back if nobody can be reached.
 const DARK_AFTER: Duration = Duration::from_secs(1);
 
@@ -101,8 +105,8 @@
     Moving,
     /// No holder is known.
     Nobody,
-    /// The holder failed lately.
-    Resting,
+    /// The holder can't be reached; when another may be expected.
+    Resting(Duration),
     /// The holder takes no requests.
     NotReady,
     /// The holder has no room.
@@ -201,7 +205,9 @@
     }
 
     fn sending(&self) -> Sending<'_> {
+        let connections = self.terms(&self.gate.known.borrow()).connections;
         Sending {
+            connections,
             names: &self.gate.names,
             head: &self.head,
             deadline: self.deadline,
@@ -370,7 +376,16 @@
             let hurdle = {
                 let known = self.gate.known.borrow();
                 match known.holder(&self.service, key) {
-                    Holder::Backend(b) if b.is_resting(now) => return Err(Hurdle::Resting),
+                    Holder::Backend(b) if b.is_resting(now) => {
+                        let back = b.dark_since().map(|d| d + DARK_TIME);
+                        match back.map(|b| b.saturating_duration_since(now)) {
+                            Some(after) if now + after > until => {
+                                return Err(Hurdle::Resting(after));
+                            }
+                            Some(after) => Hurdle::Resting(after),
+                            None => return Err(Hurdle::Resting(MOVE_AFTER)),
+                        }
+                    }
                     Holder::Backend(b) if !b.is_ready() => Hurdle::NotReady,
                     Holder::Backend(b) if left_it(&b) => Hurdle::Moving,
                     Holder::Backend(b) if choose::has_room(&b, &self.terms(&known)) => {
@@ -418,6 +433,10 @@
             Tries {
                 may_have_run: true, ..
             } => Own::new(StatusCode::BAD_GATEWAY, "no whole answer"),
+            Tries {
+                hurdle: Some(Hurdle::Resting(after)),
+                ..
+            } => Own::later(MOVE_AFTER.max(*after), "the holder can't be reached"),
             _ if self.key.is_some() => Own::later(MOVE_AFTER, "the key has no holder now"),
             Tries { full: true, .. } => Own::later(FULL_AFTER, "no room"),
             _ => Own::later(DARK_AFTER, "no backend server can be reached"),
--- a/src/gateway/tests/choose.rs
+++ b/src/gateway/tests/choose.rs
@@ -8,7 +8,7 @@
 use crate::gateway::choose::{self, Terms};
 use crate::gateway::head::LoadTold;
 
-fn backend(name: &str, zone: &str) -> Rc<Backend> {
+pub(super) fn backend(name: &str, zone: &str) -> Rc<Backend> {
     Backend::new(Arc::new(Server {
         life: Life {
             server: name.into(),
--- a/src/gateway/tests/known.rs
+++ b/src/gateway/tests/known.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use crate::fleet::news::{Held, Holders, News};
-use crate::fleet::{Key, Life, Server, Standing};
+use crate::fleet::{Key, Life, Part, Server, Standing, Vm};
 use crate::gateway::known::{Holder, Known};
 
 fn server(name: &str, standing: Standing) -> Arc<Server> {
@@ -103,3 +103,29 @@
     assert_eq!(known.backends("s").len(), 1);
     assert_eq!(name(&known, 0), "nobody");
 }
+
+#[test]
+fn a_vm_replaces_the_one_at_its_address_and_others_stay() {
+    let vm = |name: &str, port| Vm {
+        name: name.into(),
+        zone: "z".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        part: Part::Entry,
+    };
+    let mut known = known();
+    let first = News {
+        index: 6,
+        vms: vec![vm("a", 1), vm("b", 2)],
+        ..News::default()
+    };
+    known.take(first);
+    let second = News {
+        index: 7,
+        vms: vec![vm("c", 1)],
+        ..News::default()
+    };
+    known.take(second);
+    let names: Vec<_> = known.vms.iter().map(|v| &*v.name).collect();
+    assert_eq!(names, ["b", "c"]);
+    assert_eq!(known.entries(), 2);
+}
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,3 +1,4 @@
+mod backend;
 mod budget;
 mod choose;
 mod head;
--- a/src/web/socket.rs
+++ b/src/web/socket.rs
@@ -1,7 +1,9 @@
 //! What the codecs give no way to do with a connection.
 
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
+use std::time::Duration;
 
 /// What the other end has done so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +36,30 @@
     }
 }
 
+/// Has the connection of `fd` broken once sent bytes stay unacknowledged for `silent`.
+///
+/// # Errors
+///
+/// The system's error.
+pub fn break_after(fd: RawFd, silent: Duration) -> io::Result<()> {
+    let millis = libc::c_uint::try_from(silent.as_millis()).unwrap_or(libc::c_uint::MAX);
+    let length = libc::socklen_t::try_from(size_of_val(&millis)).map_err(io::Error::other)?;
+    // SAFETY: the pointer and the length are those of a live integer.
+    let set = unsafe {
+        libc::setsockopt(
+            fd,
+            libc::IPPROTO_TCP,
+            libc::TCP_USER_TIMEOUT,
+            (&raw const millis).cast(),
+            length,
+        )
+    };
+    match set {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 /// Tells a caller that waits for it to go on and send the body.
 ///
 /// The socket's buffer is empty at this point; should the few bytes not fit,
@@ -52,7 +78,7 @@
 }
 
 fn would_block() -> bool {
-    std::io::Error::last_os_error().kind() == std::io::ErrorKind::WouldBlock
+    io::Error::last_os_error().kind() == io::ErrorKind::WouldBlock
 }
 
 /// The other end of a request's connection, among the request's extensions.
--- a/src/web/wire.rs
+++ b/src/web/wire.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// The same, broken once the other end has acknowledged nothing for `silent`.
+    pub fn watched(stream: TcpStream, silent: Duration) -> Self {
+        if let Err(error) = socket::break_after(stream.as_raw_fd(), silent) {
+            log::debug!("event=web.unwatched error={:?}", error.to_string());
+        }
+        Self::new(stream)
+    }
+
     /// Reads more; 0 at the end of the connection.
     ///
     /// # Errors
