--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -34,6 +34,10 @@
 /// Shortest time without a leader before an election: some lost or late heartbeats.
 const ELECTION: Duration = Duration::from_millis(700);
 
+/// Entries from one snapshot to the next: after a loss of all, a control VM with a small part
+/// of a core applies what came since the last one before it answers anybody.
+const SNAPSHOT_ENTRIES: u64 = 512;
+
 /// Pause before a log that could not be opened, or has stopped, is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -133,6 +137,8 @@
     let tuning = log::Tuning {
         heartbeat: HEARTBEAT,
         election: ELECTION,
+        snapshot_entries: SNAPSHOT_ENTRIES,
+        trailing_entries: SNAPSHOT_ENTRIES,
         ..log::Tuning::default()
     };
     let handle = match log::open_tuned(config, tuning, state.machine(), journal.clone()) {
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -98,7 +98,7 @@
                 Ok(Some(head)) => {
                     // A body is read only when nothing before it is under way.
                     while let Some(reply) = pending.next().await {
-                        if write(&gate, &mut wire, reply).await == Then::End {
+                        if write(&gate, &mut wire, reply, false).await == Then::End {
                             return;
                         }
                     }
@@ -119,7 +119,10 @@
         let event = wait(&mut wire, &mut pending, listening, limit).await;
         match event {
             Event::Reply(Some(reply)) => {
-                if write(&gate, &mut wire, reply).await == Then::End {
+                let last = pending.is_empty();
+                // What is not read is not run, and callers send it again elsewhere.
+                reading = reading && (last || !gate.stop.is_stopping());
+                if write(&gate, &mut wire, reply, last).await == Then::End {
                     return;
                 }
                 since = clock::now();
@@ -132,7 +135,7 @@
             // Work under way has its own deadline, however far away that is.
             Event::Late if !pending.is_empty() => since = clock::now(),
             Event::Late if wire.waiting() > 0 => {
-                write(&gate, &mut wire, too_late()).await;
+                write(&gate, &mut wire, too_late(), true).await;
                 return;
             }
             Event::Read(_) | Event::Reply(None) | Event::Late => return,
@@ -212,12 +215,27 @@
     let close = !keeps_alive(&parts);
     let id = parts.headers.get(&gate.names.request).cloned();
     let answer = match Job::new(&gate, &parts) {
-        Ok(job) => job.run(body).await,
+        Ok(job) => until_cut(&gate, job.run(body)).await,
         Err(own) => Answer::Own(own),
     };
     Reply { answer, id, close }
 }
 
+/// Waits for an answer until this VM has no time left.
+async fn until_cut<F>(gate: &Gate, work: F) -> Answer
+where
+    F: Future<Output = Answer>,
+{
+    let mut cut = gate.cut.join();
+    match race::race(pin!(work), pin!(cut.stopped())).await {
+        Either::First(answer) => answer,
+        Either::Second(()) => Answer::Own(Own::new(
+            StatusCode::GATEWAY_TIMEOUT,
+            "this VM ends before the backend server has answered",
+        )),
+    }
+}
+
 /// Reads the body of a request and carries it out.
 async fn with_body(gate: &Rc<Gate>, wire: &mut Wire, head: RequestHead, limits: &Limits) -> Then {
     let RequestHead { parts, mut body } = head;
@@ -231,7 +249,7 @@
     let (first, done) = match read {
         Ok(Ok(read)) => read,
         Ok(Err(error)) => {
-            write(gate, wire, refuse(&error)).await;
+            write(gate, wire, refuse(&error), true).await;
             return Then::End;
         }
         Err(_) => return Then::End,
@@ -240,7 +258,7 @@
         let whole = Whole { parts, body: first };
         let mut reply = pin!(run(Rc::clone(gate), Ok(whole)));
         return match until_left(wire, reply.as_mut()).await {
-            Some(reply) => write(gate, wire, reply).await,
+            Some(reply) => write(gate, wire, reply, true).await,
             None => Then::End,
         };
     }
@@ -257,7 +275,7 @@
                 length: carry::body_length(&parts.headers),
                 limit: limits.body_bytes.saturating_sub(taken),
             };
-            job.stream(source).await
+            until_cut(gate, job.stream(source)).await
         }
     };
     let reply = Reply {
@@ -265,7 +283,7 @@
         id,
         close: close || !body.is_done(),
     };
-    write(gate, wire, reply).await
+    write(gate, wire, reply, true).await
 }
 
 /// Waits for work on behalf of a caller; `None` once the caller has left.
@@ -306,9 +324,9 @@
     }
 }
 
-/// Writes an answer.
-async fn write(gate: &Gate, wire: &mut Wire, reply: Reply) -> Then {
-    let close = reply.close || gate.stop.is_stopping();
+/// Writes an answer; the last one of a connection whose VM stops closes it.
+async fn write(gate: &Gate, wire: &mut Wire, reply: Reply, last: bool) -> Then {
+    let close = reply.close || (last && gate.stop.is_stopping());
     let (bytes, rest) = match reply.answer {
         Answer::Own(own) => {
             let id = reply.id.as_ref().map(|id| (&gate.names.request, id));
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -33,8 +33,12 @@
 /// Connections of callers at a time, well below the descriptors that a process may have.
 const CONNECTIONS: usize = 2500;
 
-/// Part of the time until the process is killed that it takes at most to end by itself.
-const GRACE_PART: f64 = 0.9;
+/// Part of the time until the process is killed that requests under way get: after five
+/// sixths of it they may be given up, and answers that wait behind them still have to go out.
+const WORK_PART: f64 = 0.86;
+
+/// The same for the end of the process.
+const GRACE_PART: f64 = 0.92;
 
 /// Runs the daemon until it is told to stop.
 ///
@@ -139,11 +143,14 @@
 async fn leave(settings: &Entry, gate: &Gate, journal: &Journal) {
     journal.record(Event::new("gateway.stopping"));
     let begun = clock::now();
+    let work = settings.grace.mul_f64(WORK_PART);
     let last = settings.grace.mul_f64(GRACE_PART);
+    let left = |of: Duration| of.saturating_sub(clock::now().saturating_duration_since(begun));
     gate.close(caller::LEAVE);
-    monoio::time::sleep(caller::LEAVE.min(last)).await;
-    let left = last.saturating_sub(clock::now().saturating_duration_since(begun));
-    let whole = gate.stop.finished(left).await;
+    monoio::time::sleep(caller::LEAVE.min(work)).await;
+    let whole = gate.stop.finished(left(work)).await;
+    gate.cut.stop();
+    gate.stop.finished(left(last)).await;
     let detail = format!(
         "whole={whole} answered={} refused={} repeated={}",
         gate.counts.answered.get(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -52,6 +52,8 @@
     pub loads: RefCell<Loads>,
     /// Asks connections to end.
     pub stop: Stop,
+    /// Asks requests under way to end, so that what waits behind them is still answered.
+    pub cut: Stop,
     /// From when on no request is taken any more, once this VM stops.
     pub last_call: Cell<Option<Instant>>,
     /// What became of requests so far.
@@ -80,6 +82,7 @@
             budget: RefCell::new(budget::Budget::new(retries)),
             loads: RefCell::default(),
             stop: Stop::default(),
+            cut: Stop::default(),
             last_call: Cell::default(),
             counts: Counts::default(),
         })
--- a/src/gateway/tests/requests.rs
+++ b/src/gateway/tests/requests.rs
@@ -246,3 +246,21 @@
         assert!(!world.gate.is_ready());
     });
 }
+
+#[test]
+fn when_the_time_to_stop_is_over_answers_behind_a_slow_one_still_arrive() {
+    runtime::run(async {
+        let backend = Backend::start(vec![vec![Does::Waits], vec![OK]]);
+        let world = World::new(&[&backend]);
+        let mut caller = world.connect().await;
+        send(&mut caller, &format!("{SAFE}{SAFE}")).await;
+        until(|| backend.got.borrow().len() == 2).await;
+        world.gate.close(Duration::ZERO);
+        world.gate.cut.stop();
+        let mut text = String::new();
+        let first = read(&mut caller, &mut text).await.unwrap();
+        assert_eq!(status(&first), 504);
+        let second = read(&mut caller, &mut text).await;
+        assert_eq!(second.map(|s| status(&s)), Some(200));
+    });
+}
