--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -5,7 +5,7 @@
 //! and with it the connections to backend servers.
 
 use std::future;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -73,6 +73,7 @@
 /// Serves one connection until either end closes it.
 pub async fn serve(gate: Rc<Gate>, stream: TcpStream) {
     let mut wire = Wire::new(stream);
+    // Boxed, as the queue of an idle connection keeps the room of its last one.
     let mut pending = FuturesOrdered::new();
     let mut member = gate.stop.join();
     let mut reading = true;
@@ -84,7 +85,7 @@
             match wire.request(head_limits(&limits)) {
                 Ok(None) => break,
                 Err(error) => {
-                    pending.push_back(run(Rc::clone(&gate), Err(error)));
+                    pending.push_back(Box::pin(run(Rc::clone(&gate), Err(error))));
                     reading = false;
                 }
                 Ok(Some(head)) if head.body.is_done() => {
@@ -93,7 +94,7 @@
                         parts: head.parts,
                         body: Bytes::new(),
                     };
-                    pending.push_back(run(Rc::clone(&gate), Ok(whole)));
+                    pending.push_back(Box::pin(run(Rc::clone(&gate), Ok(whole))));
                 }
                 Ok(Some(head)) => {
                     // A body is read only when nothing before it is under way.
@@ -215,19 +216,19 @@
     let close = !keeps_alive(&parts);
     let id = parts.headers.get(&gate.names.request).cloned();
     let answer = match Job::new(&gate, &parts) {
-        Ok(job) => until_cut(&gate, job.run(body)).await,
+        Ok(job) => until_cut(&gate, pin!(job.run(body))).await,
         Err(own) => Answer::Own(own),
     };
     Reply { answer, id, close }
 }
 
 /// Waits for an answer until this VM has no time left.
-async fn until_cut<F>(gate: &Gate, work: F) -> Answer
+async fn until_cut<F>(gate: &Gate, mut work: Pin<&mut F>) -> Answer
 where
     F: Future<Output = Answer>,
 {
     let mut cut = gate.cut.join();
-    match race::race(pin!(work), pin!(cut.stopped())).await {
+    match race::race(work.as_mut(), pin!(cut.stopped())).await {
         Either::First(answer) => answer,
         Either::Second(()) => Answer::Own(Own::new(
             StatusCode::GATEWAY_TIMEOUT,
@@ -275,7 +276,7 @@
                 length: carry::body_length(&parts.headers),
                 limit: limits.body_bytes.saturating_sub(taken),
             };
-            until_cut(gate, job.stream(source)).await
+            until_cut(gate, pin!(job.stream(source))).await
         }
     };
     let reply = Reply {
@@ -287,7 +288,7 @@
 }
 
 /// Waits for work on behalf of a caller; `None` once the caller has left.
-async fn until_left<F>(wire: &mut Wire, mut work: std::pin::Pin<&mut F>) -> Option<F::Output>
+async fn until_left<F>(wire: &mut Wire, mut work: Pin<&mut F>) -> Option<F::Output>
 where
     F: Future,
 {
