Look at the balance twice a second, with more moves in large fleets

Cause: a hot key's neighbours stay at an overloaded holder until the next look at the balance, up to a second, and a look made 16 moves whatever the number of backend servers.

Change: looks every 500 ms, counts fading as before; a move for every four backend servers, loads kept up to date instead of summed anew for each.

--- a/src/fleet/desk.rs
+++ b/src/fleet/desk.rs
@@ -31,7 +31,7 @@
 const URGED: Duration = Duration::from_millis(25);
 
 /// Time between looks at the balance; a move takes about a second to come into force.
-const EVEN_EVERY: Duration = Duration::from_secs(1);
+const EVEN_EVERY: Duration = Duration::from_millis(500);
 
 /// Silence after which a backend server gets no further keys: two heartbeats.
 pub(super) const QUIET_AFTER: Duration = Duration::from_secs(2);
@@ -48,7 +48,7 @@
 const GATHER: Duration = Duration::from_millis(2500);
 
 /// What is left of a counted request after one look at the balance.
-const FADE: f64 = 0.77;
+const FADE: f64 = 0.88;
 
 /// Part of a backend server's pace that one more sample leaves: some thirty samples count.
 const NEWEST: f64 = 0.97;
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -20,9 +20,12 @@
 /// Load against the mean that a backend server is filled up to.
 const FILLED: f64 = 1.1;
 
-/// Moves for balance in one round: a few busy keys may be worth many servers.
+/// Least moves for balance in one round: a few busy keys may be worth many servers.
 const MOVES: usize = 16;
 
+/// Backend servers for each further move in a round: busy keys spread over a part of all.
+const SERVERS_PER_MOVE: usize = 4;
+
 /// Rows that each backend server is dealt: busy keys are close to one another, so
 /// that many small rows spread them, and each row costs bytes in every heartbeat.
 const DEALT: usize = 16;
@@ -159,10 +162,10 @@
 
     /// Moves keys from the most to the least loaded.
     fn even(&mut self) {
-        for _ in 0..MOVES {
-            let loads = self.loads();
-            let weights: f64 = self.candidates.iter().map(|c| c.weight).sum();
-            let mean = 1.0 / weights;
+        let weights: f64 = self.candidates.iter().map(|c| c.weight).sum();
+        let mean = 1.0 / weights;
+        let mut loads = self.loads();
+        for _ in 0..MOVES.max(self.candidates.len() / SERVERS_PER_MOVE) {
             let (Some(hot), Some(cold)) = (hottest(&loads), coldest(&loads)) else {
                 return;
             };
@@ -170,8 +173,17 @@
             let over = (load(hot) - mean) * self.weight(hot);
             let room = (FILLED * mean - load(cold)) * self.weight(cold);
             let uneven = load(hot) >= UNEVEN * mean || load(cold) < BARE * mean;
-            if !uneven || room <= 0.0 || !self.shift(hot, cold, over.min(room)) {
+            if !uneven || room <= 0.0 {
+                return;
+            }
+            let Some(moved) = self.shift(hot, cold, over.min(room)) else {
                 return;
+            };
+            for (place, share) in [(hot, -moved), (cold, moved)] {
+                let weight = self.weight(place);
+                if let Some(load) = loads.get_mut(place) {
+                    *load += share / weight;
+                }
             }
         }
     }
@@ -180,41 +192,39 @@
         self.candidates.get(candidate).map_or(1.0, |c| c.weight)
     }
 
-    /// Moves keys of about `share` from one candidate to another; false if none can be.
-    fn shift(&mut self, hot: usize, cold: usize, share: f64) -> bool {
+    /// Moves keys of about `share` from one candidate to another; their share, if any can be.
+    fn shift(&mut self, hot: usize, cold: usize, share: f64) -> Option<f64> {
         let rows = |place| self.spans.iter().filter(|s| s.place == Some(place)).count();
         if rows(cold) >= ROWS_PER_SERVER || rows(hot) >= ROWS_PER_SERVER {
-            return false;
+            return None;
         }
         let shares = self.shares;
         let free = |s: &&Span| s.place == Some(hot) && !s.pending && !s.moved;
         let load = |s: &Span| shares.of(s.from, s.to);
         let largest = self.spans.iter().filter(free);
-        let Some(largest) = largest.max_by(|a, b| load(a).total_cmp(&load(b))).cloned() else {
-            return false;
-        };
+        let largest = largest
+            .max_by(|a, b| load(a).total_cmp(&load(b)))
+            .cloned()?;
         let upto = shares.upto(largest.from, largest.to, share);
-        let Some(last) = upto.filter(|l| *l < largest.to || largest.from < largest.to) else {
-            return false;
-        };
+        let last = upto.filter(|l| *l < largest.to || largest.from < largest.to)?;
         let moving = Span {
             to: last,
             place: Some(cold),
             moved: true,
             ..largest
         };
-        let at = self.spans.iter().position(|s| s.from == largest.from);
-        let Some(at) = at else { return false };
+        let moved = load(&moving);
+        let at = self.spans.iter().position(|s| s.from == largest.from)?;
         let rest = last.checked_add(1).filter(|rest| *rest <= largest.to);
         match (rest, self.spans.get_mut(at)) {
-            (_, None) => return false,
+            (_, None) => return None,
             (None, Some(span)) => *span = moving,
             (Some(rest), Some(span)) => {
                 span.from = rest;
                 self.spans.insert(at, moving);
             }
         }
-        true
+        Some(moved)
     }
 
     /// Load of each candidate, against its weight.
