Entry VMs prefer twelve backend servers of their zone

Ruled out: balance of keys (the service has none).

Change: an entry VM prefers a part of twelve of the servers of its zone; the parts lie evenly over all. Others of the zone cost half a request more, less than another zone. Smaller fleets are not changed by it.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -47,6 +47,8 @@
 pub struct Backend {
     server: RefCell<Arc<Server>>,
     warm: Instant,
+    /// Whether this VM takes it before others of its zone.
+    preferred: Cell<bool>,
     in_flight: Cell<u32>,
     /// Since when requests are under way and none was answered.
     silent: Cell<Option<Instant>>,
@@ -73,6 +75,7 @@
         Rc::new(Self {
             warm: now + server.cold,
             server: RefCell::new(server),
+            preferred: Cell::new(true),
             in_flight: Cell::new(0),
             silent: Cell::new(None),
             idle: RefCell::default(),
@@ -102,6 +105,16 @@
         self.server.borrow().standing == Standing::Ready
     }
 
+    /// Whether this VM takes it before others of its zone.
+    pub fn is_preferred(&self) -> bool {
+        self.preferred.get()
+    }
+
+    /// Says whether this VM takes it before others of its zone.
+    pub fn set_preferred(&self, preferred: bool) {
+        self.preferred.set(preferred);
+    }
+
     /// Requests of this VM under way.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -1,6 +1,7 @@
 //! Which backend server a request is offered to.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::backend::Backend;
@@ -9,6 +10,13 @@
 /// bytes between zones are dear, waiting behind others is dearer.
 const OTHER_ZONE: f64 = 0.9;
 
+/// What a backend server of the own zone costs more that other entry VMs prefer.
+const OTHERS_FIRST: f64 = 0.5;
+
+/// Backend servers of its zone that an entry VM prefers: so many that some have room, and so
+/// few that it hears of the load of each more than once a second.
+const PREFERRED: usize = 12;
+
 /// How much a server that is nearly full is slower than one with free slots.
 const CROWDED: f64 = 0.35;
 
@@ -79,10 +87,28 @@
     let load = backend.load(terms.now) / slots;
     let ahead = backend.load(terms.now) + 1.0;
     let wait = (ahead / slots).max(1.0) + CROWDED * load * load;
-    let zone = if *server.zone == *terms.zone {
-        0.0
-    } else {
-        OTHER_ZONE
+    let zone = match *server.zone == *terms.zone {
+        true if backend.is_preferred() => 0.0,
+        true => OTHERS_FIRST,
+        false => OTHER_ZONE,
     };
     backend.pace(terms.now) * wait + zone + FAULT * backend.faults()
 }
+
+/// Has an entry VM prefer its part of the backend servers of its zone.
+///
+/// `place` is its number among the entry VMs of the zone, and their count. The
+/// parts lie evenly over all, so that each server is preferred by about as many.
+pub fn prefer(backends: &[Rc<Backend>], zone: &str, place: (usize, usize)) {
+    let mut near: Vec<_> = backends
+        .iter()
+        .filter(|b| *b.server().zone == *zone)
+        .collect();
+    near.sort_by_key(|b| Arc::clone(&b.server().life.server));
+    let (number, entries) = place;
+    let first = number * near.len() / entries.max(1);
+    for (i, backend) in near.iter().enumerate() {
+        let after = (i + near.len() - first.min(near.len())) % near.len().max(1);
+        backend.set_preferred(after < PREFERRED);
+    }
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -59,6 +59,7 @@
         address: settings.peer,
         part: Part::Entry,
     };
+    gate.known.borrow_mut().own = Some(own.clone());
     journal.record(Event::new("gateway.started").zone(&settings.zone));
     let following = follow::run(Rc::clone(&gate), own, Rc::clone(&seeds), journal.clone());
     monoio::spawn(following);
--- a/src/gateway/known.rs
+++ b/src/gateway/known.rs
@@ -1,10 +1,11 @@
 //! What an entry VM knows from the control VMs.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use super::backend::Backend;
+use super::choose;
 use crate::fleet::messages::Pace;
 use crate::fleet::news::{Held, News};
 use crate::fleet::{Key, Part, Server, Standing, Vm};
@@ -24,6 +25,8 @@
     pub limits: Rc<table::Limits>,
     /// All VMs.
     pub vms: Vec<Vm>,
+    /// This VM, once it is known.
+    pub own: Option<Vm>,
     backends: HashMap<ids::ServerName, Rc<Backend>>,
     services: HashMap<ids::ServiceName, Vec<Rc<Backend>>>,
     rows: HashMap<ids::ServiceName, Vec<Held>>,
@@ -59,10 +62,18 @@
             let names: Vec<_> = news.servers.iter().map(|s| &s.life.server).collect();
             self.backends.retain(|name, _| names.contains(&name));
         }
-        let changed = news.whole || !news.servers.is_empty();
+        let changed = news.whole || !news.servers.is_empty() || !news.vms.is_empty();
         for server in news.servers {
             self.put(server);
         }
+        if news.whole {
+            self.vms.clear();
+        }
+        for vm in news.vms {
+            self.vms
+                .retain(|v| v.name != vm.name && v.address != vm.address);
+            self.vms.push(vm);
+        }
         if changed {
             self.arrange();
         }
@@ -73,14 +84,6 @@
             let rows = self.rows.entry(holders.service).or_default();
             lay_over(rows, holders.rows);
         }
-        if news.whole {
-            self.vms.clear();
-        }
-        for vm in news.vms {
-            self.vms
-                .retain(|v| v.name != vm.name && v.address != vm.address);
-            self.vms.push(vm);
-        }
         true
     }
 
@@ -163,6 +166,19 @@
             let list = self.services.entry(service).or_default();
             list.push(Rc::clone(backend));
         }
+        let Some(own) = &self.own else { return };
+        let entries = self.vms.iter().filter(|v| v.part == Part::Entry);
+        let mates: BTreeSet<_> = entries
+            .filter(|v| v.zone == own.zone)
+            .map(|v| &v.name)
+            .collect();
+        let place = (
+            mates.iter().take_while(|m| ***m < own.name).count(),
+            mates.len(),
+        );
+        for list in self.services.values() {
+            choose::prefer(list, &own.zone, place);
+        }
     }
 }
 
--- a/src/gateway/tests/choose.rs
+++ b/src/gateway/tests/choose.rs
@@ -94,3 +94,42 @@
     let chosen = choose::choose(&all, &tried, &terms()).unwrap();
     assert_eq!(&*chosen.server().life.server, "b");
 }
+
+#[test]
+fn each_server_of_a_zone_is_preferred_by_about_as_many_entry_vms() {
+    for (servers, entries) in [(57, 23), (57, 91), (24, 5), (13, 2), (5, 9), (0, 3)] {
+        let all: Vec<_> = (0..servers)
+            .map(|i| backend(&format!("s{i:03}"), "near"))
+            .collect();
+        let mut counts = vec![0_usize; servers];
+        for entry in 0..entries {
+            choose::prefer(&all, "near", (entry, entries));
+            let preferred: Vec<_> = all.iter().map(|b| b.is_preferred()).collect();
+            let mine = preferred.iter().filter(|p| **p).count();
+            assert_eq!(
+                mine,
+                servers.min(12),
+                "{servers} servers, {entries} entries"
+            );
+            for (count, preferred) in counts.iter_mut().zip(preferred) {
+                *count += usize::from(preferred);
+            }
+        }
+        let even = entries * servers.min(12) / servers.max(1);
+        let near = |c: &usize| c.abs_diff(even) <= 1;
+        assert!(counts.iter().all(near), "{servers} {entries} {counts:?}");
+    }
+}
+
+#[test]
+fn a_crowded_part_of_the_zone_spills_over_into_the_rest_of_it() {
+    let all = [
+        backend("mine", "near"),
+        backend("theirs", "near"),
+        backend("far", "far"),
+    ];
+    all[1].set_preferred(false);
+    assert_eq!(chosen(&all).as_deref(), Some("mine"));
+    let _busy: Vec<_> = (0..3).map(|_| all[0].begin()).collect();
+    assert_eq!(chosen(&all).as_deref(), Some("theirs"));
+}
