--- a/src/fleet/front.rs
+++ b/src/fleet/front.rs
@@ -20,7 +20,8 @@
 use super::desk::{Desk, Refusal};
 use super::messages::{self, Leave, Pace, Renewal, Report, Seen};
 use super::model::{Life, Part, Standing, Vm};
-use super::news::{self, News, Poll, Told};
+use super::news::{self, News, Poll};
+use super::packed::{self, Told};
 use crate::clock;
 use crate::ids;
 use crate::rpc::{self, Answer, CallError, Fault, error, server};
@@ -50,10 +51,6 @@
 /// off from it, and the next one is asked after this.
 const LEADER_HOLD: Duration = Duration::from_millis(400);
 
-/// How long packed news are given to entry VMs: many ask at once, and what they miss
-/// is the next answer.
-const PACKED_FRESH: Duration = Duration::from_millis(200);
-
 /// Pause before a VM that could not be made known is tried again.
 const INTRODUCE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -71,14 +68,7 @@
     paces: RefCell<Vec<Pace>>,
     introducing: RefCell<HashSet<ids::VmName>>,
     passed: RefCell<HashMap<Life, Instant>>,
-    packed: RefCell<Option<Packed>>,
-}
-
-/// Long news, as they are sent to all entry VMs that know as much.
-struct Packed {
-    have: ids::LogIndex,
-    made: Instant,
-    news: Arc<str>,
+    packed: packed::Cache,
 }
 
 impl Front {
@@ -93,7 +83,7 @@
             paces: RefCell::default(),
             introducing: RefCell::default(),
             passed: RefCell::default(),
-            packed: RefCell::default(),
+            packed: packed::Cache::default(),
         })
     }
 
@@ -263,13 +253,13 @@
             if !self.desk.log.is_current() {
                 return Err(Refusal::NotLeader);
             }
-            if let Some(packed) = self.packed(poll.have) {
-                return Ok(packed);
+            if let Some(told) = self.packed.find(poll.have) {
+                return Ok(told);
             }
             let news = self.news(poll.have);
             let left = end.saturating_duration_since(clock::now());
             if !news.is_empty() || left.is_zero() || news.index < poll.have {
-                return Ok(self.told(poll.have, news));
+                return Ok(self.packed.tell(poll.have, news));
             }
             if self.desk.state.changed.wait(left).await {
                 monoio::time::sleep(NEWS_GATHER).await;
@@ -285,34 +275,6 @@
         }
     }
 
-    /// Long news that were packed a moment ago; what changed since is the next answer.
-    fn packed(&self, have: ids::LogIndex) -> Option<Told> {
-        let packed = self.packed.borrow();
-        let fits = |p: &&Packed| p.have == have && clock::now() < p.made + PACKED_FRESH;
-        let packed = packed.as_ref().filter(fits)?;
-        Some(Told::Packed(Arc::clone(&packed.news)))
-    }
-
-    fn told(&self, have: ids::LogIndex, news: News) -> Told {
-        if !news.is_long() {
-            return Told::Plain(Box::new(news));
-        }
-        match news::pack(&news) {
-            Ok(text) => {
-                *self.packed.borrow_mut() = Some(Packed {
-                    have,
-                    made: clock::now(),
-                    news: Arc::clone(&text),
-                });
-                Told::Packed(text)
-            }
-            Err(error) => {
-                log::warn!("event=fleet.unpacked error={:?}", error.to_string());
-                Told::Plain(Box::new(news))
-            }
-        }
-    }
-
     fn news(&self, have: ids::LogIndex) -> News {
         let state = &self.desk.state;
         let index = self.desk.log.applied();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,7 +6,7 @@
 //! [`desk`] answers with the spans it holds and their lease. What only the
 //! leader must know, such as when a lease ends, stays in its memory
 //! ([`leases`]); a new leader waits for what it can't know. [`plan`] decides
-//! which spans move. Entry VMs follow all of it as [`news`].
+//! which spans move. Entry VMs follow all of it as [`news`], of which long ones go [`packed`].
 //!
 //! A span changes hands in two steps. First the log names the next holder, and
 //! from then on the old one is no longer given the span. Once the old holder
@@ -23,6 +23,7 @@
 pub mod model;
 pub mod moves;
 pub mod news;
+pub mod packed;
 pub mod plan;
 pub mod rows;
 pub mod store;
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -1,14 +1,7 @@
 //! What changed since a log position, for entry VMs.
 
-use std::fmt;
-use std::io::{self, Read, Write};
 use std::sync::Arc;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use flate2::Compression;
-use flate2::read::ZlibDecoder;
-use flate2::write::ZlibEncoder;
 use serde::{Deserialize, Serialize};
 
 use super::model::{Key, Row, Server, Standing, Vm};
@@ -82,6 +75,9 @@
     pub rows: Vec<Held>,
 }
 
+/// Items of news that fit into some packets as they are.
+const LONG_ITEMS: usize = 64;
+
 /// What changed since a log position.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct News {
@@ -122,76 +118,6 @@
     }
 }
 
-/// Bytes that news may have when unpacked: far more than any fleet of today.
-const UNPACKED_BYTES: u64 = 256 << 20;
-
-/// Items of news that fit into some packets as they are.
-const LONG_ITEMS: usize = 64;
-
-/// News as they are sent.
-///
-/// Long ones go packed: they are the same for many entry VMs, whose links may
-/// be narrow.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Told {
-    /// What changed.
-    Plain(Box<News>),
-    /// Much that changed: JSON, in the zlib format, in base64.
-    Packed(Arc<str>),
-}
-
-/// Why packed news can't be read.
-#[derive(Debug)]
-pub enum UnpackError {
-    /// They are not base64.
-    Text(base64::DecodeError),
-    /// They can't be inflated.
-    Zlib(io::Error),
-    /// They are not news.
-    Json(serde_json::Error),
-}
-
-impl fmt::Display for UnpackError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Text(error) => write!(f, "packed news: {error}"),
-            Self::Zlib(error) => write!(f, "packed news: {error}"),
-            Self::Json(error) => write!(f, "packed news: {error}"),
-        }
-    }
-}
-
-impl std::error::Error for UnpackError {}
-
-/// Packs news.
-///
-/// # Errors
-///
-/// The codec's error.
-pub fn pack(news: &News) -> io::Result<Arc<str>> {
-    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(&serde_json::to_vec(news)?)?;
-    Ok(STANDARD.encode(encoder.finish()?).into())
-}
-
-/// News that were told.
-///
-/// # Errors
-///
-/// [`UnpackError`] if they can't be read.
-pub fn unpack(told: Told) -> Result<News, UnpackError> {
-    let packed = match told {
-        Told::Plain(news) => return Ok(*news),
-        Told::Packed(packed) => packed,
-    };
-    let bytes = STANDARD.decode(&*packed).map_err(UnpackError::Text)?;
-    let mut json = Vec::new();
-    let mut decoder = ZlibDecoder::new(&*bytes).take(UNPACKED_BYTES);
-    decoder.read_to_end(&mut json).map_err(UnpackError::Zlib)?;
-    serde_json::from_slice(&json).map_err(UnpackError::Json)
-}
-
 /// What changed after `have`; `index` is the position that the stores reflect.
 pub fn since(
     have: ids::LogIndex,
--- a/src/fleet/tests/news.rs
+++ b/src/fleet/tests/news.rs
@@ -1,6 +1,6 @@
 use super::{life, server};
-use crate::fleet::news;
 use crate::fleet::{Change, Part, Standing, Store, Vm};
+use crate::fleet::{news, packed};
 use crate::table;
 
 fn stand(name: &str, standing: Standing) -> Change {
@@ -70,12 +70,12 @@
     store.apply(1, Change::Announce(server("a", 1, 1)));
     store.apply(2, Change::Announce(server("b", 1, 2)));
     let news = news::since(0, 2, &table, &store);
-    let told = news::Told::Packed(news::pack(&news).unwrap());
-    let unpacked = news::unpack(told).unwrap();
+    let told = packed::Told::Packed(packed::pack(&news).unwrap());
+    let unpacked = packed::unpack(told).unwrap();
     assert_eq!(unpacked.servers, news.servers);
     assert!(unpacked.whole);
-    assert!(news::unpack(news::Told::Packed("not base64!".into())).is_err());
-    assert!(news::unpack(news::Told::Packed("AAAA".into())).is_err());
+    assert!(packed::unpack(packed::Told::Packed("not base64!".into())).is_err());
+    assert!(packed::unpack(packed::Told::Packed("AAAA".into())).is_err());
 }
 
 #[test]
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,7 +14,8 @@
 use crate::clock;
 use crate::fleet::front::{POLL_HOLD, SEEN_EVERY};
 use crate::fleet::messages::{self, Seen};
-use crate::fleet::news::{self, News, Poll, Told};
+use crate::fleet::news::{self, News, Poll};
+use crate::fleet::packed::{self, Told};
 use crate::fleet::{Part, Vm};
 use crate::rpc;
 use crate::timeline::{Event, Journal};
@@ -109,7 +110,7 @@
         have: gate.known.borrow().index,
     };
     let told: Told = peer.call(news::POLL, &poll, POLL_HOLD + SLACK).await?;
-    news::unpack(told).map_err(|e| rpc::CallError::Malformed(e.to_string().into()))
+    packed::unpack(told).map_err(|e| rpc::CallError::Malformed(e.to_string().into()))
 }
 
 /// Takes news in; false if they are older than what is known.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -376,16 +376,7 @@
             let hurdle = {
                 let known = self.gate.known.borrow();
                 match known.holder(&self.service, key) {
-                    Holder::Backend(b) if b.is_resting(now) => {
-                        let back = b.dark_since().map(|d| d + DARK_TIME);
-                        match back.map(|b| b.saturating_duration_since(now)) {
-                            Some(after) if now + after > until => {
-                                return Err(Hurdle::Resting(after));
-                            }
-                            Some(after) => Hurdle::Resting(after),
-                            None => return Err(Hurdle::Resting(MOVE_AFTER)),
-                        }
-                    }
+                    Holder::Backend(b) if b.is_resting(now) => dark(&b, now, until)?,
                     Holder::Backend(b) if !b.is_ready() => Hurdle::NotReady,
                     Holder::Backend(b) if left_it(&b) => Hurdle::Moving,
                     Holder::Backend(b) if choose::has_room(&b, &self.terms(&known)) => {
@@ -471,6 +462,15 @@
     }
 }
 
+/// What to do about a holder that can't be reached: wait if another may be expected by `until`.
+fn dark(backend: &Backend, now: Instant, until: Instant) -> Result<Hurdle, Hurdle> {
+    let back = backend.dark_since().map(|d| d + DARK_TIME);
+    match back.map(|b| b.saturating_duration_since(now)) {
+        Some(after) if now + after <= until => Ok(Hurdle::Resting(after)),
+        after => Err(Hurdle::Resting(after.unwrap_or(MOVE_AFTER))),
+    }
+}
+
 /// Host that a request is for, without a port.
 fn host(parts: &request::Parts) -> Option<&str> {
     let header = parts
--- a/src/gateway/tests/choose.rs
+++ b/src/gateway/tests/choose.rs
@@ -133,3 +133,40 @@
     let _busy: Vec<_> = (0..3).map(|_| all[0].begin()).collect();
     assert_eq!(chosen(&all).as_deref(), Some("theirs"));
 }
+
+#[test]
+fn somebody_ready_with_room_is_chosen_whenever_there_is_one() {
+    for seed in 0..300 {
+        arbtest::arbtest(|u| {
+            let count = u.int_in_range(0..=6)?;
+            let all: Vec<_> = (0..count)
+                .map(|i| backend(&format!("s{i}"), if i % 2 == 0 { "near" } else { "far" }))
+                .collect();
+            let mut busy = Vec::new();
+            for server in &all {
+                busy.extend((0..u.int_in_range(0..=6)?).map(|_| server.begin()));
+                server.set_preferred(u.arbitrary()?);
+                for _ in 0..u.int_in_range(0..=3)? {
+                    server.failed(u.arbitrary()?);
+                }
+            }
+            let tried: Vec<_> = all
+                .iter()
+                .filter(|_| u.arbitrary().unwrap_or(false))
+                .cloned()
+                .collect();
+            let terms = terms();
+            let chosen = choose::choose(&all, &tried, &terms);
+            let is_tried = |b: &Rc<Backend>| tried.iter().any(|t| Rc::ptr_eq(t, b));
+            let open = |b: &&Rc<Backend>| !is_tried(b) && choose::has_room(b, &terms);
+            let fit = |b: &&Rc<Backend>| !b.is_resting(terms.now);
+            match chosen {
+                Some(chosen) => assert!(open(&&chosen)),
+                None => assert_eq!(all.iter().filter(open).filter(fit).count(), 0),
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | 256)
+        .run();
+    }
+}
--- a/src/gateway/tests/requests.rs
+++ b/src/gateway/tests/requests.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use monoio::net::TcpListener;
+
 use super::standin::{Backend, Does, World, header, holders, read, send, status, until};
 use crate::fleet::news::News;
 use crate::runtime;
@@ -264,3 +266,20 @@
         assert_eq!(second.map(|s| status(&s)), Some(200));
     });
 }
+
+#[test]
+fn while_a_holder_is_dark_callers_are_told_when_its_keys_may_have_another() {
+    runtime::run(async {
+        let mut backend = Backend::start(Vec::new());
+        let unused = TcpListener::bind("127.0.0.1:0").unwrap();
+        backend.address = unused.local_addr().unwrap();
+        drop(unused);
+        let world = World::new(&[&backend]);
+        for _ in 0..2 {
+            let answer = world.ask(KEYED).await;
+            assert_eq!(status(&answer), 503);
+            let after = header(&answer, "retry-after").unwrap();
+            assert!(after.parse::<f64>().unwrap() > 2.0, "{after}");
+        }
+    });
+}
