Count requests by key; keep other keys off the holder of a busy one

Cause: requests were counted in buckets of 16 keys, so a look at the balance cut a bucket with one busy key blindly; and once nothing of the most loaded holder's largest span could be moved, the look ended, so that the holder of a busy key kept all its other keys, and others stayed uneven.

Ruled out: moving the busy key itself; one key has one holder, and a move darkens it for a heartbeat while it is wanted most.

Change: counts and shares are by key, kept only for keys that are asked for. Of the most loaded holder the piece worth the most is moved, a whole span or the start of the largest; a holder that has none is passed over.

--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -133,8 +133,8 @@
 pub struct Load {
     /// Service.
     pub service: ids::ServiceName,
-    /// Numbers of buckets, see [`super::balance::BUCKETS`], and the requests for each.
-    pub counts: Vec<(u16, u32)>,
+    /// Keys, and the requests for each.
+    pub counts: Vec<(Key, u32)>,
 }
 
 impl Report {
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -177,7 +177,11 @@
                 return;
             }
             let Some(moved) = self.shift(hot, cold, over.min(room)) else {
-                return;
+                // Nothing of it can be moved; the next one may have something.
+                if let Some(load) = loads.get_mut(hot) {
+                    *load = mean;
+                }
+                continue;
             };
             for (place, share) in [(hot, -moved), (cold, moved)] {
                 let weight = self.weight(place);
@@ -201,21 +205,26 @@
         let shares = self.shares;
         let free = |s: &&Span| s.place == Some(hot) && !s.pending && !s.moved;
         let load = |s: &Span| shares.of(s.from, s.to);
-        let largest = self.spans.iter().filter(free);
-        let largest = largest
-            .max_by(|a, b| load(a).total_cmp(&load(b)))
-            .cloned()?;
-        let upto = shares.upto(largest.from, largest.to, share);
-        let last = upto.filter(|l| *l < largest.to || largest.from < largest.to)?;
+        let by_load = |a: &&Span, b: &&Span| load(a).total_cmp(&load(b));
+        let spans = || self.spans.iter().filter(free);
+        let whole = spans().filter(|s| load(s) <= share).max_by(by_load);
+        let largest = spans().max_by(by_load)?;
+        let start = shares.upto(largest.from, largest.to, share);
+        // A busy key near its start leaves little of the largest span to move.
+        let pieces = [whole.map(|s| (s, s.to)), start.map(|last| (largest, last))];
+        let worth = |piece: &(&Span, Key)| shares.of(piece.0.from, piece.1);
+        let pieces = pieces.into_iter().flatten();
+        let (span, last) = pieces.max_by(|a, b| worth(a).total_cmp(&worth(b)))?;
+        let span = span.clone();
         let moving = Span {
             to: last,
             place: Some(cold),
             moved: true,
-            ..largest
+            ..span
         };
         let moved = load(&moving);
-        let at = self.spans.iter().position(|s| s.from == largest.from)?;
-        let rest = last.checked_add(1).filter(|rest| *rest <= largest.to);
+        let at = self.spans.iter().position(|s| s.from == span.from)?;
+        let rest = last.checked_add(1).filter(|rest| *rest <= span.to);
         match (rest, self.spans.get_mut(at)) {
             (_, None) => return None,
             (None, Some(span)) => *span = moving,
