--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -239,15 +239,9 @@
         let Ok(first) = held else {
             return Outcome::Broken("its answer broke off");
         };
+        let clean = whole && strays == 0;
         if parts.headers.contains_key(&sending.names.refused) {
-            keep(
-                backend,
-                sending,
-                wire,
-                &parts.headers,
-                &body,
-                whole && strays == 0,
-            );
+            keep(backend, sending, wire, &parts.headers, &body, clean);
             return match parts.status {
                 StatusCode::MISDIRECTED_REQUEST => Outcome::Elsewhere,
                 _ => Outcome::Full(head::load(&parts.headers, sending.names)),
@@ -275,14 +269,7 @@
                 Held::Whole(first)
             };
             let response = response(held);
-            keep(
-                backend,
-                sending,
-                wire,
-                &parts.headers,
-                &body,
-                whole && strays == 0,
-            );
+            keep(backend, sending, wire, &parts.headers, &body, clean);
             return Outcome::Answered(response);
         }
         let rest = Rest {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod request;
 #[cfg(test)]
 mod tests;
+mod tries;
 
 use std::cell::{Cell, RefCell};
 use std::fmt;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -14,9 +14,10 @@
 use super::exchange::{self, Body, Outcome, Sending, Source};
 use super::head::{self, Outgoing};
 use super::known::Holder;
+use super::tries::{self, Hurdle, Tries};
 use super::{Gate, count};
 use crate::clock;
-use crate::fleet::{Key, leases};
+use crate::fleet::Key;
 use crate::ids;
 use crate::table::lookup;
 use crate::table::{Repeat, Route};
@@ -34,19 +35,6 @@
 /// Time between looks for room.
 const ROOM_LOOK: Duration = Duration::from_millis(15);
 
-/// When to come back if all were full: some requests' time.
-const FULL_AFTER: Duration = Duration::from_millis(250);
-
-/// When to come back if a key is moving: about a heartbeat.
-const MOVE_AFTER: Duration = Duration::from_millis(400);
-
-/// Time after which the keys of a holder that can't be reached have another one, if
-/// that is possible at all.
-const DARK_TIME: Duration = leases::LONGEST.saturating_add(Duration::from_millis(400));
-
-/// When to come back if nobody can be reached.
-const DARK_AFTER: Duration = Duration::from_secs(1);
-
 /// When to come back, to another VM, if this one stops.
 const CLOSED_AFTER: Duration = Duration::from_millis(50);
 
@@ -78,41 +66,6 @@
     deadline: Instant,
 }
 
-/// What was tried so far.
-#[derive(Default)]
-struct Tries {
-    tried: Vec<Rc<Backend>>,
-    /// Those that said that they do not hold the key.
-    elsewhere: Vec<Rc<Backend>>,
-    /// Requests that arrived at a backend server, or may have.
-    sent: u32,
-    unreached: u32,
-    /// Whether one of them may have run.
-    may_have_run: bool,
-    timed_out: bool,
-    /// Whether all that refused had no room.
-    full: bool,
-    /// What stood in the way when no backend server was found.
-    hurdle: Option<Hurdle>,
-    /// A failure of a backend server, kept in case nothing better comes.
-    spare: Option<Response>,
-}
-
-/// What stands between a request and the holder of its key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Hurdle {
-    /// The key is about to have another holder.
-    Moving,
-    /// No holder is known.
-    Nobody,
-    /// The holder can't be reached; when another may be expected.
-    Resting(Duration),
-    /// The holder takes no requests.
-    NotReady,
-    /// The holder has no room.
-    Full,
-}
-
 impl Job {
     /// Finds the route of a request, or says why there is none.
     ///
@@ -126,14 +79,14 @@
             return Err(Own::later(CLOSED_AFTER, "this VM stops"));
         }
         if known.table.is_none() {
-            return Err(Own::later(DARK_AFTER, "no routes are known yet"));
+            return Err(Own::later(tries::DARK_AFTER, "no routes are known yet"));
         }
         let path = parts.uri.path();
         let host = host(parts);
         let route = host.and_then(|h| known.lookup.find(h, path));
         let route = route.ok_or(Own::new(StatusCode::NOT_FOUND, "no such route"))?;
         let service = lookup::service(route, fastrand::f64());
-        let service = service.ok_or(Own::later(DARK_AFTER, "the route leads nowhere"))?;
+        let service = service.ok_or(Own::later(tries::DARK_AFTER, "the route leads nowhere"))?;
         let owned = known.service(service).is_some_and(|s| s.owned);
         let key = head::key(&parts.headers, &gate.names);
         if owned && key.is_none() {
@@ -376,7 +329,7 @@
             let hurdle = {
                 let known = self.gate.known.borrow();
                 match known.holder(&self.service, key) {
-                    Holder::Backend(b) if b.is_resting(now) => dark(&b, now, until)?,
+                    Holder::Backend(b) if b.is_resting(now) => tries::dark(&b, now, until)?,
                     Holder::Backend(b) if !b.is_ready() => Hurdle::NotReady,
                     Holder::Backend(b) if left_it(&b) => Hurdle::Moving,
                     Holder::Backend(b) if choose::has_room(&b, &self.terms(&known)) => {
@@ -415,23 +368,7 @@
             return self.done(response);
         }
         count(&self.gate.counts.refused);
-        let own = match &tries {
-            Tries {
-                may_have_run: true,
-                timed_out: true,
-                ..
-            } => Own::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-            Tries {
-                may_have_run: true, ..
-            } => Own::new(StatusCode::BAD_GATEWAY, "no whole answer"),
-            Tries {
-                hurdle: Some(Hurdle::Resting(after)),
-                ..
-            } => Own::later(MOVE_AFTER.max(*after), "the holder can't be reached"),
-            _ if self.key.is_some() => Own::later(MOVE_AFTER, "the key has no holder now"),
-            Tries { full: true, .. } => Own::later(FULL_AFTER, "no room"),
-            _ => Own::later(DARK_AFTER, "no backend server can be reached"),
-        };
+        let own = tries.answer(self.key.is_some());
         log::info!(
             "event=gateway.refused id={:?} route={:?} service={:?} key={:?} status={} sent={} \
              unreached={} held_ms={} hurdle={:?} reason={:?}",
@@ -462,15 +399,6 @@
     }
 }
 
-/// What to do about a holder that can't be reached: wait if another may be expected by `until`.
-fn dark(backend: &Backend, now: Instant, until: Instant) -> Result<Hurdle, Hurdle> {
-    let back = backend.dark_since().map(|d| d + DARK_TIME);
-    match back.map(|b| b.saturating_duration_since(now)) {
-        Some(after) if now + after <= until => Ok(Hurdle::Resting(after)),
-        after => Err(Hurdle::Resting(after.unwrap_or(MOVE_AFTER))),
-    }
-}
-
 /// Host that a request is for, without a port.
 fn host(parts: &request::Parts) -> Option<&str> {
     let header = parts
