Log what was swallowed; answers to callers in a module of their own

Cause: eight places turned an error into an empty value without a line. Two were faults: a recorded outcome with a status that is none was answered as 200, and a command that can't be written would have been put to the log as an empty entry. A request given up at the end of a stop had no line either.

A record without a status is answered 500 (test failed first); a command that can't be written is not put to the log; two unwritable changes no longer share a digest. What is cut in a stop is counted and told (event=gateway.cut). The writing half of caller moved to reply, unchanged.

--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -10,9 +10,23 @@
 ///
 /// As for [`log::Handle::propose`].
 pub async fn propose(log: &log::Handle, command: &Command) -> Result<Applied, ProposeError> {
-    let payload = serde_json::to_vec(command).unwrap_or_default();
+    let payload = match serde_json::to_vec(command) {
+        Ok(payload) => payload,
+        Err(error) => return Ok(unreadable("command", &error)),
+    };
     let outcome = log.propose(payload).await?;
-    Ok(serde_json::from_slice(&outcome).unwrap_or(Applied::Unreadable))
+    let applied = serde_json::from_slice(&outcome);
+    Ok(applied.unwrap_or_else(|error| unreadable("outcome", &error)))
+}
+
+/// The outcome of a command that can't be written, which is not put to the log, or whose
+/// outcome can't be read.
+fn unreadable(what: &str, error: &serde_json::Error) -> Applied {
+    ::log::error!(
+        "event=control.unreadable what={what:?} error={:?}",
+        error.to_string()
+    );
+    Applied::Unreadable
 }
 
 /// The fault that tells another process why the log took no command.
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -96,7 +96,9 @@
         registry.register(name, help, gauge);
     }
     let mut body = String::new();
-    let _ = text::encode(&mut body, &registry);
+    if let Err(error) = text::encode(&mut body, &registry) {
+        log::warn!("event=control.metrics error={:?}", error.to_string());
+    }
     Response::new(Bytes::from(body))
 }
 
--- a/src/document/diff.rs
+++ b/src/document/diff.rs
@@ -21,12 +21,18 @@
 /// The places where two documents differ, in the order of the fields.
 pub fn diff(old: &Document, new: &Document) -> Vec<Difference> {
     let mut differences = Vec::new();
-    let old = serde_json::to_value(old).unwrap_or_default();
-    let new = serde_json::to_value(new).unwrap_or_default();
+    let (old, new) = (value(old), value(new));
     compare("", Some(&old), Some(&new), &mut differences);
     differences
 }
 
+fn value(document: &Document) -> Value {
+    serde_json::to_value(document).unwrap_or_else(|error| {
+        log::error!("event=document.unwritten error={:?}", error.to_string());
+        Value::Null
+    })
+}
+
 fn compare(path: &str, old: Option<&Value>, new: Option<&Value>, out: &mut Vec<Difference>) {
     match (old, new) {
         (old, new) if old == new => {}
@@ -71,7 +77,7 @@
         list.iter().filter(|n| other.contains(n)).cloned().collect()
     };
     if kept(&before, &after) != kept(&after, &before) {
-        let order = |list: &[Arc<str>]| serde_json::to_value(list).ok();
+        let order = |list: &[Arc<str>]| Some(list.iter().map(|n| Value::from(&**n)).collect());
         out.push(Difference {
             path: format!("{path} order").into(),
             old: order(&before),
--- a/src/document/store.rs
+++ b/src/document/store.rs
@@ -256,6 +256,11 @@
 }
 
 fn digest(change: &Change) -> u64 {
-    let text = serde_json::to_vec(&(change.base, &change.document)).unwrap_or_default();
+    let content = (change.base, &change.document);
+    let text = serde_json::to_vec(&content).unwrap_or_else(|error| {
+        // Two changes that can't be written must not pass for the same one.
+        log::error!("event=document.unwritten error={:?}", error.to_string());
+        format!("{content:?}").into_bytes()
+    });
     xxhash_rust::xxh3::xxh3_64(&text)
 }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -169,7 +169,9 @@
     /// All metrics as Prometheus text.
     pub fn text(&self) -> String {
         let mut text = String::new();
-        let _ = text::encode(&mut text, &self.registry);
+        if let Err(error) = text::encode(&mut text, &self.registry) {
+            log::warn!("event=entry.metrics error={:?}", error.to_string());
+        }
         text
     }
 }
--- a/src/entry/proxy/answer.rs
+++ b/src/entry/proxy/answer.rs
@@ -60,7 +60,11 @@
     /// The recorded outcome of an earlier attempt.
     pub fn replay(outcome: Outcome) -> Self {
         let mut response = http::Response::new(Bytes::copy_from_slice(outcome.body.as_bytes()));
-        *response.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or_default();
+        *response.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or_else(|error| {
+            // No success may come of a record that says nothing of the kind.
+            log::error!("event=claim.status error={:?}", error.to_string());
+            StatusCode::INTERNAL_SERVER_ERROR
+        });
         if let Some(kind) = &outcome.content_type {
             headers::set(response.headers_mut(), header::CONTENT_TYPE, kind);
         }
--- a/src/entry/proxy/tests/mod.rs
+++ b/src/entry/proxy/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Requests through a proxy to fake owners, with real claim records.
 
+mod answers;
 mod claims;
 mod fixture;
 mod requests;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -15,10 +15,11 @@
 use monoio::net::TcpStream;
 use monoio::time;
 
-use super::Gate;
-use super::answer::{Answer, Held, Own, Rest};
+use super::answer::{Answer, Own};
 use super::exchange::{HELD_BYTES, Source};
+use super::reply::{self, AHEAD_BYTES, Reply, Then, until_left, write};
 use super::request::{self as carry, Job};
+use super::{Gate, count};
 use crate::clock;
 use crate::table::Limits;
 use crate::web::decode::DecodeError;
@@ -29,32 +30,16 @@
 /// Requests of one connection that are under way at a time.
 const AHEAD: usize = 16;
 
-/// Bytes that are read ahead while requests are under way.
-const AHEAD_BYTES: usize = 64 << 10;
-
-/// Longest time to write an answer to a caller that takes nothing.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Longest time to read a body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time added to the idle time that callers count on, so that they close first.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 
-/// Longest time to read on after the last answer, so that it is not lost to a reset.
-const LINGER: Duration = Duration::from_millis(500);
-
 /// Time that an idle connection stays open once this VM stops: until the
 /// balancer sends no more, a caller may send one more request on it.
 pub const LEAVE: Duration = Duration::from_millis(2500);
 
-/// An answer under way, and what the caller needs to know it by.
-struct Reply {
-    answer: Answer,
-    id: Option<HeaderValue>,
-    close: bool,
-}
-
 /// What came of waiting.
 enum Event {
     Reply(Option<Reply>),
@@ -63,13 +48,6 @@
     Stopped,
 }
 
-/// What to do with the connection.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Then {
-    GoOn,
-    End,
-}
-
 /// Serves one connection until either end closes it.
 pub async fn serve(gate: Rc<Gate>, stream: TcpStream) {
     let mut wire = Wire::new(stream);
@@ -113,7 +91,7 @@
             since = clock::now();
         }
         if pending.is_empty() && !reading {
-            return end(&mut wire).await;
+            return reply::end(&mut wire).await;
         }
         let limit = wait_limit(&wire, &limits, pending.is_empty(), since, leaving);
         let listening = leaving.is_none().then_some(&mut member);
@@ -216,24 +194,33 @@
     let close = !keeps_alive(&parts);
     let id = parts.headers.get(&gate.names.request).cloned();
     let answer = match Job::new(&gate, &parts) {
-        Ok(job) => until_cut(&gate, pin!(job.run(body))).await,
+        Ok(job) => until_cut(&gate, id.as_ref(), pin!(job.run(body))).await,
         Err(own) => Answer::Own(own),
     };
     Reply { answer, id, close }
 }
 
 /// Waits for an answer until this VM has no time left.
-async fn until_cut<F>(gate: &Gate, mut work: Pin<&mut F>) -> Answer
+async fn until_cut<F>(gate: &Gate, id: Option<&HeaderValue>, mut work: Pin<&mut F>) -> Answer
 where
     F: Future<Output = Answer>,
 {
     let mut cut = gate.cut.join();
     match race::race(work.as_mut(), pin!(cut.stopped())).await {
         Either::First(answer) => answer,
-        Either::Second(()) => Answer::Own(Own::new(
-            StatusCode::GATEWAY_TIMEOUT,
-            "this VM ends before the backend server has answered",
-        )),
+        Either::Second(()) => {
+            let own = Own::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                "this VM ends before the backend server has answered",
+            );
+            count(&gate.counts.refused);
+            log::info!(
+                "event=gateway.cut id={id:?} status={} reason={:?}",
+                own.status.as_u16(),
+                own.reason,
+            );
+            Answer::Own(own)
+        }
     }
 }
 
@@ -276,7 +263,7 @@
                 length: carry::body_length(&parts.headers),
                 limit: limits.body_bytes.saturating_sub(taken),
             };
-            until_cut(gate, pin!(job.stream(source))).await
+            until_cut(gate, id.as_ref(), pin!(job.stream(source))).await
         }
     };
     let reply = Reply {
@@ -287,23 +274,6 @@
     write(gate, wire, reply, true).await
 }
 
-/// Waits for work on behalf of a caller; `None` once the caller has left.
-async fn until_left<F>(wire: &mut Wire, mut work: Pin<&mut F>) -> Option<F::Output>
-where
-    F: Future,
-{
-    loop {
-        if wire.waiting() >= AHEAD_BYTES {
-            return Some(work.await);
-        }
-        match race::race(work.as_mut(), pin!(wire.fill())).await {
-            Either::First(output) => return Some(output),
-            Either::Second(Ok(length)) if length > 0 => {}
-            Either::Second(_) => return None,
-        }
-    }
-}
-
 /// Reads a body to its end or as much as is held; whether that was the end.
 async fn read_body(wire: &mut Wire, body: &mut BodyReader) -> Result<(Bytes, bool), DecodeError> {
     let mut held = BytesMut::new();
@@ -325,84 +295,6 @@
     }
 }
 
-/// Writes an answer; the last one of a connection whose VM stops closes it.
-async fn write(gate: &Gate, wire: &mut Wire, reply: Reply, last: bool) -> Then {
-    let close = reply.close || (last && gate.stop.is_stopping());
-    let (bytes, rest) = match reply.answer {
-        Answer::Own(own) => {
-            let id = reply.id.as_ref().map(|id| (&gate.names.request, id));
-            (own.encode(id, close), None)
-        }
-        Answer::Theirs(response) => {
-            let bytes = response.encode(close);
-            let rest = match response.body {
-                Held::Rest(rest) => Some(rest),
-                Held::None(_) | Held::Whole(_) => None,
-            };
-            (bytes, rest)
-        }
-    };
-    if !put(wire, bytes).await {
-        return Then::End;
-    }
-    if let Some(rest) = rest
-        && !Box::pin(pass(wire, *rest)).await
-    {
-        return Then::End;
-    }
-    if close {
-        end(wire).await;
-        return Then::End;
-    }
-    Then::GoOn
-}
-
-/// Passes the rest of a body on; false if it did not come to its end.
-async fn pass(wire: &mut Wire, mut rest: Rest) -> bool {
-    loop {
-        let mut bytes = Vec::new();
-        match rest.wire.piece(&mut rest.reader) {
-            Ok(Piece::Data(data)) => {
-                rest.put(&mut bytes, &data);
-                if !put(wire, bytes).await {
-                    return false;
-                }
-            }
-            Ok(Piece::End) => {
-                rest.put_end(&mut bytes);
-                return put(wire, bytes).await;
-            }
-            Ok(Piece::More) => {
-                let ends = rest.reader == BodyReader::UntilEnd;
-                let filled = {
-                    let mut fill = pin!(rest.wire.fill());
-                    until_left(wire, fill.as_mut()).await
-                };
-                match filled {
-                    Some(Ok(0)) if ends => rest.reader = BodyReader::Done,
-                    Some(Ok(length)) if length > 0 => {}
-                    Some(_) | None => return false,
-                }
-            }
-            Err(_) => return false,
-        }
-    }
-}
-
-async fn put(wire: &mut Wire, bytes: Vec<u8>) -> bool {
-    matches!(
-        time::timeout(WRITE_TIMEOUT, wire.write(bytes)).await,
-        Ok(Ok(()))
-    )
-}
-
-/// Ends a connection so that the last answer arrives.
-async fn end(wire: &mut Wire) {
-    if wire.shutdown().await.is_ok() {
-        wire.linger(LINGER).await;
-    }
-}
-
 fn too_late() -> Reply {
     let own = Own::new(StatusCode::REQUEST_TIMEOUT, "the request took too long");
     Reply {
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -182,7 +182,8 @@
     pub waiting: u32,
 }
 
-/// Load that an answer tells, if it does.
+/// Load that an answer tells, if it does; one that can't be read is none told, as such
+/// reports may mislead anyway and what this VM sees counts first.
 pub fn load(headers: &HeaderMap, names: &Names) -> Option<LoadTold> {
     let mut parts = headers.get(&names.load)?.to_str().ok()?.split(',');
     let mut next = || parts.next()?.trim().parse().ok();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod follow;
 pub mod head;
 pub mod known;
+mod reply;
 pub mod request;
 #[cfg(test)]
 mod tests;
