--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::courier::CallFormat;
+use super::delivery::Links;
 use super::leases::Leases;
 use super::load::LoadCounts;
 use super::messages::{Heartbeat, Leave, Observations, Renewal};
@@ -20,7 +22,7 @@
 use crate::ids;
 use crate::log;
 use crate::notify::Notify;
-use crate::table;
+use crate::table::{self, Delivery};
 use crate::timeline::{Event, Journal};
 
 /// Time between two passes over the key ranges.
@@ -84,13 +86,17 @@
     pub(super) log: log::Handle,
     pub(super) state: State,
     pub(super) journal: Journal,
-    max_lease: Duration,
+    pub(super) max_lease: Duration,
+    /// How calls to backend servers are written.
+    pub(super) format: CallFormat,
+    /// Connections for calls to backend servers.
+    pub(super) links: RefCell<Links>,
     leases: RefCell<Option<Leases>>,
     pub(super) loads: RefCell<LoadCounts>,
     /// When the first heartbeat was received.
     first_heartbeat: RefCell<Option<Instant>>,
     /// Starts the next pass early.
-    pass_needed: Notify,
+    pub(super) pass_needed: Notify,
     /// Heartbeats whose responses are delayed until keys become free.
     pub(super) delayed: RefCell<HashMap<Incarnation, Rc<Notify>>>,
     /// Smoothed relative latency of each backend server.
@@ -99,8 +105,16 @@
 
 impl Coordinator {
     /// Creates a coordinator for a log and its state; `max_lease` limits the leases.
-    pub fn new(log: log::Handle, state: State, journal: Journal, max_lease: Duration) -> Rc<Self> {
+    pub fn new(
+        log: log::Handle,
+        state: State,
+        journal: Journal,
+        max_lease: Duration,
+        format: CallFormat,
+    ) -> Rc<Self> {
         Rc::new(Self {
+            format,
+            links: RefCell::default(),
             log,
             state,
             journal,
@@ -190,6 +204,12 @@
         if !self.state.table.borrow().is_sharded(service) {
             return Ok(Renewal::default());
         }
+        if self.delivery(service) == Delivery::Call {
+            if heartbeat.server.state != ServerState::Ready {
+                self.pass_needed.wake();
+            }
+            return Ok(Renewal::default());
+        }
         self.release_ranges(leading_since, service, &incarnation)
             .await?;
         let state = self.with_fleet(|store| store.incarnation(&incarnation).map(|s| s.state));
@@ -281,7 +301,16 @@
                 ::log::warn!("event=fleet.plan service={service:?} refused={error:?}");
             }
         }
+        for service in &services {
+            if self.delivery(service) != Delivery::Call {
+                continue;
+            }
+            if let Err(error) = self.deliver(leading_since, service).await {
+                ::log::warn!("event=fleet.deliver service={service:?} refused={error:?}");
+            }
+        }
         if rebalance {
+            self.prune_links(leading_since);
             self.loads.borrow_mut().decay(LOAD_DECAY);
             self.remove_silent(leading_since).await;
         }
@@ -380,9 +409,16 @@
     pub(super) fn leases(&self, leading_since: Instant) -> RefMut<'_, Leases> {
         RefMut::map(self.leases.borrow_mut(), |leases| {
             let current = leases.take().filter(|l| l.leading_since() == leading_since);
-            leases.insert(current.unwrap_or_else(|| Leases::new(self.max_lease, leading_since)))
+            let new = || Leases::new(self.max_lease, leading_since, self.log.applied_index());
+            leases.insert(current.unwrap_or_else(new))
         })
     }
+
+    /// How the owners of keys of a service are told which keys they own.
+    pub(super) fn delivery(&self, service: &str) -> Delivery {
+        let table = self.state.table.borrow();
+        table.service(service).map_or_else(Delivery::default, |s| s.delivery)
+    }
 }
 
 impl fmt::Debug for Coordinator {
--- /dev/null
+++ b/src/fleet/courier.rs
@@ -0,0 +1,242 @@
+//! Calls that grant keys to backend servers and take them back.
+//!
+//! A connection whose call got no clear answer is reset: then no byte of the call can
+//! arrive later than the network delays it, which bounds the lease of the call. A reset
+//! by the other end may mean that another process has the address by now.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderName, StatusCode, response};
+use monoio::net::TcpStream;
+use monoio::time;
+
+use super::call_leases::Run;
+use super::messages::GrantedRange;
+use super::model::{HandoverToken, Incarnation};
+use crate::clock;
+use crate::web::connection::{BodyEvent, HeadLimits, HttpConnection, ResponseHead};
+
+/// Timeout of a grant: a lost packet is sent again after about 0.2 s.
+pub const GRANT_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Timeout of a release, which is answered once the running requests have ended.
+pub const RELEASE_TIMEOUT: Duration = Duration::from_millis(1500);
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(500);
+
+const HEAD_LIMITS: HeadLimits = HeadLimits {
+    head_bytes: 8 << 10,
+    body_bytes: MAX_BODY_BYTES,
+};
+
+const MAX_BODY_BYTES: u64 = 16 << 10;
+
+/// Path and body of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderCall {
+    /// Path of the request.
+    pub path: &'static str,
+    /// Body of the request, as JSON.
+    pub body: Vec<u8>,
+}
+
+/// How calls to backend servers are written.
+#[derive(Clone, Debug)]
+pub struct CallFormat {
+    /// Call that grants keys for a duration.
+    pub grant: fn(&GrantedRange, Duration) -> OrderCall,
+    /// Call that takes keys back.
+    pub release: fn(&Run) -> OrderCall,
+    /// Header with the name of the backend server that the call is meant for.
+    pub expected_server: HeaderName,
+    /// Header of the response to a release with the handover token.
+    pub token: HeaderName,
+}
+
+/// Result of one call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// The backend server did as it was told; with the handover token of a release.
+    Done(Option<HandoverToken>),
+    /// The backend server refused.
+    Refused(StatusCode),
+    /// Nothing was sent.
+    NotSent,
+    /// The call may be applied later.
+    Unanswered,
+}
+
+/// Connection to a backend server and the calls under way there.
+#[derive(Default)]
+pub struct Link {
+    idle: RefCell<Option<HttpConnection>>,
+    /// Whether grants are being sent.
+    pub busy: Cell<bool>,
+    /// No grant is sent before.
+    pub retry_at: Cell<Option<Instant>>,
+    /// When the other end closed or refused a connection.
+    pub closed_at: Cell<Option<Instant>>,
+    /// Releases under way.
+    pub releasing: RefCell<HashSet<Run>>,
+}
+
+impl Link {
+    /// Sends a grant on the kept connection; `before_write` may still cancel it.
+    pub async fn send_grant<W>(
+        &self,
+        request: Request<'_>,
+        before_write: W,
+    ) -> OrderOutcome
+    where
+        W: Fn() -> bool,
+    {
+        let kept = self.idle.take().filter(HttpConnection::is_idle);
+        let connection = match kept {
+            Some(connection) => Some(connection),
+            None => self.connect(request.address).await,
+        };
+        let Some(mut connection) = connection else {
+            return OrderOutcome::NotSent;
+        };
+        if !before_write() {
+            *self.idle.borrow_mut() = Some(connection);
+            return OrderOutcome::NotSent;
+        }
+        let outcome = self.exchange(&mut connection, &request, GRANT_TIMEOUT).await;
+        if !matches!(outcome, OrderOutcome::Unanswered) && connection.is_idle() {
+            *self.idle.borrow_mut() = Some(connection);
+        }
+        outcome
+    }
+
+    /// Sends a release on a connection of its own, so that it holds up no grant and its response
+    /// can't be that of an earlier call.
+    pub async fn send_release<W>(&self, request: Request<'_>, before_write: W) -> OrderOutcome
+    where
+        W: Fn() -> bool,
+    {
+        match self.connect(request.address).await {
+            Some(mut connection) if before_write() => {
+                self.exchange(&mut connection, &request, RELEASE_TIMEOUT)
+                    .await
+            }
+            Some(_) | None => OrderOutcome::NotSent,
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Option<HttpConnection> {
+        let connecting = TcpStream::connect_addr(address);
+        match time::timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(Ok(stream)) => Some(HttpConnection::with_reset(stream, UNACKNOWLEDGED_TIMEOUT)),
+            Ok(Err(_)) => {
+                self.closed_at.set(Some(clock::now()));
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
+    async fn exchange(
+        &self,
+        connection: &mut HttpConnection,
+        request: &Request<'_>,
+        timeout: Duration,
+    ) -> OrderOutcome {
+        let exchange = async {
+            connection.write(request.encode()).await.ok()?;
+            read_response(connection).await
+        };
+        match time::timeout(timeout, exchange).await {
+            Ok(Some((parts, _))) => outcome(&parts, &request.format.token),
+            Ok(None) => {
+                self.closed_at.set(Some(clock::now()));
+                OrderOutcome::Unanswered
+            }
+            Err(_) => OrderOutcome::Unanswered,
+        }
+    }
+}
+
+impl fmt::Debug for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Link").finish_non_exhaustive()
+    }
+}
+
+/// A call to one incarnation of a backend server.
+#[derive(Clone, Debug)]
+pub struct Request<'a> {
+    /// How calls are written.
+    pub format: &'a CallFormat,
+    /// Address of the backend server.
+    pub address: SocketAddr,
+    /// Incarnation that the call is meant for.
+    pub incarnation: &'a Incarnation,
+    /// Path and body.
+    pub call: OrderCall,
+}
+
+impl Request<'_> {
+    fn encode(&self) -> Vec<u8> {
+        let OrderCall { path, body } = &self.call;
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n{}: {}\r\nContent-Length: {}\r\n\r\n",
+            self.address,
+            self.format.expected_server,
+            self.incarnation.server,
+            body.len(),
+        );
+        [head.as_bytes(), body].concat()
+    }
+}
+
+fn outcome(parts: &response::Parts, token: &HeaderName) -> OrderOutcome {
+    match parts.status {
+        StatusCode::OK => {
+            let token = parts.headers.get(token).and_then(|t| t.to_str().ok());
+            OrderOutcome::Done(token.filter(|t| !t.is_empty()).map(Into::into))
+        }
+        StatusCode::CONFLICT | StatusCode::MISDIRECTED_REQUEST | StatusCode::BAD_REQUEST => {
+            OrderOutcome::Refused(parts.status)
+        }
+        _ => OrderOutcome::Unanswered,
+    }
+}
+
+/// Reads a whole response; `None` if the connection ends or the bytes are no response.
+async fn read_response(connection: &mut HttpConnection) -> Option<(response::Parts, Bytes)> {
+    let ResponseHead { parts, mut body } = loop {
+        match connection.decode_response_head(HEAD_LIMITS, false) {
+            Ok(Some(head)) if head.parts.status.is_informational() => continue,
+            Ok(Some(head)) => break head,
+            Ok(None) => {}
+            Err(_) => return None,
+        }
+        match connection.fill().await {
+            Ok(1..) => {}
+            Ok(0) | Err(_) => return None,
+        }
+    };
+    let mut received = Vec::new();
+    loop {
+        match connection.next_body_event(&mut body).ok()? {
+            BodyEvent::End => return Some((parts, received.into())),
+            BodyEvent::Data(data) => received.extend_from_slice(&data),
+            BodyEvent::NeedMore => match connection.fill().await {
+                Ok(1..) => {}
+                Ok(0) | Err(_) => return None,
+            },
+        }
+        if received.len() as u64 > MAX_BODY_BYTES {
+            return None;
+        }
+    }
+}
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -13,6 +13,7 @@
 use http::{Request, Response};
 
 use super::coordinator::Coordinator;
+use super::courier::CallFormat;
 use super::frontend::Frontend;
 use super::leases;
 use super::model::{Vm, VmRole};
@@ -60,12 +61,16 @@
 /// Runs the daemon until a signal stops it.
 ///
 /// `handler` answers HTTP requests of backend servers and operators; it gets no
-/// frontend while the log is not open.
+/// frontend while the log is not open. `format` tells how backend servers are called.
 ///
 /// # Errors
 ///
 /// [`StartError`] if an address can't be bound or the signals can't be handled.
-pub async fn run<H, F>(source: SettingsFile<ControlSettings>, handler: H) -> Result<(), StartError>
+pub async fn run<H, F>(
+    source: SettingsFile<ControlSettings>,
+    format: CallFormat,
+    handler: H,
+) -> Result<(), StartError>
 where
     H: Fn(Option<Rc<Frontend>>, Request<Bytes>) -> F + 'static,
     F: Future<Output = Response<Bytes>> + 'static,
@@ -88,7 +93,7 @@
     monoio::spawn(web::serve(control, limits, stop.clone(), answer));
     journal.record(Event::new("control.started").zone(&settings.zone));
     while !signals.stop_requested() {
-        if let Some(handle) = open(&settings, &journal, &shared) {
+        if let Some(handle) = open(&settings, &format, &journal, &shared) {
             watch(&source, &signals, &handle, &journal).await;
             shared.borrow_mut().take();
             handle.step_down().await;
@@ -124,6 +129,7 @@
 /// Opens the log and starts the coordinator and the frontend; `None` if the log can't be opened.
 fn open(
     settings: &ControlSettings,
+    format: &CallFormat,
     journal: &Journal,
     shared: &SharedFrontend,
 ) -> Option<log::Handle> {
@@ -153,7 +159,13 @@
         }
     };
     let max_lease = settings.lease.min(leases::MAX_LEASE);
-    let coordinator = Coordinator::new(handle.clone(), state, journal.clone(), max_lease);
+    let coordinator = Coordinator::new(
+        handle.clone(),
+        state,
+        journal.clone(),
+        max_lease,
+        format.clone(),
+    );
     monoio::spawn(Rc::clone(&coordinator).run());
     let frontend = Frontend::new(coordinator, settings.control, journal.clone());
     let own = Vm {
--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -147,6 +147,7 @@
     pub async fn heartbeat(&self, heartbeat: Heartbeat) -> Result<Renewal, RequestError> {
         let incarnation = heartbeat.incarnation().clone();
         let zone = Arc::clone(&heartbeat.server.zone);
+        let service = Arc::clone(&heartbeat.server.service);
         let mut renewal = if self.is_leader() {
             self.coordinator.heartbeat(heartbeat).await?
         } else if self.is_unchanged(&heartbeat) {
@@ -158,9 +159,11 @@
                 .insert(incarnation, clock::now());
             renewal
         };
-        renewal.heartbeat_address = match renewal.lease {
-            Some(_) => self.leader_address(),
-            None => self.address_in_zone(&zone),
+        let owns_keys = self.coordinator.state.table.borrow().is_sharded(&service);
+        renewal.heartbeat_address = if owns_keys {
+            self.leader_address()
+        } else {
+            self.address_in_zone(&zone)
         };
         Ok(renewal)
     }
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -7,11 +7,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::call_leases::{CallLeases, PREDECESSOR_MARGIN};
 use super::messages::{Heartbeat, HeldRange, ReleasedRange};
 use super::model::{HandoverToken, Incarnation, Key, KeyRange};
 use super::ranges::AssignedRange;
 use super::store::Store;
 use crate::ids;
+use crate::table::Delivery;
 
 /// Lease of a backend server, unless the settings ask for a shorter one.
 ///
@@ -20,7 +22,7 @@
 pub const MAX_LEASE: Duration = Duration::from_millis(3500);
 
 /// Factor on lease durations for slow clocks of backend servers: twice a drift of 2 %.
-const CLOCK_DRIFT_FACTOR: f64 = 1.04;
+pub(super) const CLOCK_DRIFT_FACTOR: f64 = 1.04;
 
 /// Longest time between two heartbeats of a running server: the interval and some delay.
 const MAX_HEARTBEAT_GAP: Duration = Duration::from_millis(1200);
@@ -36,7 +38,7 @@
     received: Instant,
     /// Log index that was applied on this VM when the heartbeat was received.
     applied_index: ids::LogIndex,
-    held: Vec<HeldRange>,
+    held: Option<Vec<HeldRange>>,
     /// End of the longest lease granted to the incarnation.
     expires: Option<Instant>,
 }
@@ -47,21 +49,40 @@
     max_lease: Duration,
     /// When this VM became the leader.
     leading_since: Instant,
+    /// Log index that was applied then; ranges with a higher fence were assigned by this leader.
+    first_index: ids::LogIndex,
     heartbeats: HashMap<ids::ServerName, LastHeartbeat>,
     released: BTreeMap<ids::ServiceName, Vec<ReleasedRange>>,
+    calls: CallLeases,
 }
 
 impl Leases {
-    /// Leases of a VM that became the leader at `leading_since`.
-    pub fn new(max_lease: Duration, leading_since: Instant) -> Self {
+    /// Leases of a VM that became the leader at `leading_since`, when `first_index` was applied.
+    pub fn new(
+        max_lease: Duration,
+        leading_since: Instant,
+        first_index: ids::LogIndex,
+    ) -> Self {
         Self {
             max_lease,
             leading_since,
+            first_index,
             heartbeats: HashMap::new(),
             released: BTreeMap::new(),
+            calls: CallLeases::new(max_lease),
         }
     }
 
+    /// Leases granted by calls.
+    pub fn calls(&self) -> &CallLeases {
+        &self.calls
+    }
+
+    /// Leases granted by calls.
+    pub fn calls_mut(&mut self) -> &mut CallLeases {
+        &mut self.calls
+    }
+
     /// When this VM became the leader.
     pub fn leading_since(&self) -> Instant {
         self.leading_since
@@ -97,14 +118,18 @@
         };
         self.heartbeats
             .insert(Arc::clone(&incarnation.server), latest);
-        let released = self
-            .released
-            .entry(Arc::clone(&heartbeat.server.service))
-            .or_default();
-        released.extend(heartbeat.released.iter().cloned());
+        for released in &heartbeat.released {
+            self.record_token(&heartbeat.server.service, released.clone());
+        }
+        true
+    }
+
+    /// Keeps the handover token of released keys for their next owner.
+    pub fn record_token(&mut self, service: &ids::ServiceName, range: ReleasedRange) {
+        let released = self.released.entry(Arc::clone(service)).or_default();
+        released.push(range);
         let excess = released.len().saturating_sub(MAX_RELEASED_RANGES);
         released.drain(..excess);
-        true
     }
 
     /// Records a lease granted in response to a heartbeat received at `received`.
@@ -139,30 +164,60 @@
         if store.incarnation(incarnation).is_none() {
             return true;
         }
-        let assumed = self.leading_since + self.max_lease.mul_f64(CLOCK_DRIFT_FACTOR);
-        let last = self
-            .heartbeats
-            .get(&incarnation.server)
-            .filter(|l| l.incarnation == *incarnation);
-        now > last.and_then(|l| l.expires).unwrap_or(assumed)
+        let last = self.newest(incarnation);
+        now > last
+            .and_then(|l| l.expires)
+            .unwrap_or(self.predecessor_expiry())
+            && self.calls.have_ended(incarnation, now)
+    }
+
+    /// End of the longest lease that an earlier leader may have granted in a heartbeat.
+    fn predecessor_expiry(&self) -> Instant {
+        self.leading_since + self.max_lease.mul_f64(CLOCK_DRIFT_FACTOR)
+    }
+
+    fn newest(&self, incarnation: &Incarnation) -> Option<&LastHeartbeat> {
+        let last = self.heartbeats.get(&incarnation.server);
+        last.filter(|l| l.incarnation == *incarnation)
+    }
+
+    /// Whether no grant of an earlier leader can be in force or under way for a range.
+    pub fn is_settled(&self, range: &KeyRange, now: Instant) -> bool {
+        range.fence > self.first_index || now > self.predecessor_expiry() + PREDECESSOR_MARGIN
     }
 
     /// Whether it is proved that the present owner of a range no longer holds it.
-    pub fn is_free(&self, range: &KeyRange, store: &Store, now: Instant) -> bool {
+    ///
+    /// `delivery` is how the service's owners are told now; leases from before a change of it count
+    /// as well.
+    pub fn is_free(
+        &self,
+        range: &KeyRange,
+        store: &Store,
+        delivery: Delivery,
+        now: Instant,
+    ) -> bool {
         let Some(owner) = &range.owner else {
             return true;
         };
         let Some(next) = &range.next else {
             return false;
         };
-        let last = self
-            .heartbeats
-            .get(&owner.server)
-            .filter(|l| l.incarnation == *owner);
-        let released = last.is_some_and(|l| {
-            l.applied_index >= next.since && !l.held.iter().any(|h| range.overlaps(h.from, h.to))
+        if store.incarnation(owner).is_none() {
+            return true;
+        }
+        let last = self.newest(owner);
+        let no_lease = match last.and_then(|l| l.expires) {
+            Some(expires) => now > expires,
+            None if delivery == Delivery::Call => self.is_settled(range, now),
+            None => now > self.predecessor_expiry(),
+        };
+        let holds_none =
+            |held: &Vec<HeldRange>| !held.iter().any(|h| range.overlaps(h.from, h.to));
+        let reported = last.is_some_and(|l| {
+            l.applied_index >= next.since && l.held.as_ref().is_some_and(holds_none)
         });
-        released || self.has_expired(owner, store, now)
+        (reported || no_lease) && !self.calls.may_hold(owner, range, now)
     }
 
     /// Whether [`Self::is_free`] is likely to hold for a range by `until`.
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -54,11 +54,11 @@
     pub server: Server,
     /// Sequence number within the incarnation; rises with each heartbeat.
     pub sequence: u64,
-    /// Key ranges that the server holds.
-    #[serde(rename = "holds")]
-    pub held: Vec<HeldRange>,
+    /// Key ranges that the server holds; `None` if it doesn't report them.
+    #[serde(rename = "holds", default, skip_serializing_if = "Option::is_none")]
+    pub held: Option<Vec<HeldRange>>,
     /// Key ranges released since the last heartbeat that was answered.
-    #[serde(rename = "freed")]
+    #[serde(rename = "freed", default, skip_serializing_if = "Vec::is_empty")]
     pub released: Vec<ReleasedRange>,
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,14 +16,18 @@
 //! the range and a fence above all earlier ones. A refused connection doesn't prove
 //! that a server has ended: a network partition may cause it as well.
 
+pub mod call_leases;
 pub mod coordinator;
+pub mod courier;
 pub mod daemon;
+mod delivery;
 pub mod encoding;
 pub mod frontend;
 pub mod leases;
 pub mod load;
 pub mod messages;
 pub mod model;
+pub mod orders;
 pub mod plan;
 pub mod ranges;
 pub mod reassign;
--- a/src/fleet/ranges.rs
+++ b/src/fleet/ranges.rs
@@ -75,6 +75,13 @@
         self.ranges.iter()
     }
 
+    /// Ranges that share a key with `from..=to`.
+    pub fn overlapping(&self, from: Key, to: Key) -> impl Iterator<Item = &KeyRange> {
+        let first = self.ranges.partition_point(|r| r.to < from);
+        let following = self.ranges.get(first..).unwrap_or_default().iter();
+        following.take_while(move |r| r.from <= to)
+    }
+
     /// Names the next owners of some keys.
     pub fn reassign(&mut self, index: ids::LogIndex, moves: &[Move]) {
         let edits = moves.iter().map(|m| (m.from, m.to, &m.next)).collect();
--- a/src/fleet/reassign.rs
+++ b/src/fleet/reassign.rs
@@ -101,28 +101,8 @@
         if ranges.is_empty() {
             return Ok(());
         }
-        let assigned: Vec<_> = {
-            let mut leases = self.leases(leading_since);
-            let parts = ranges
-                .iter()
-                .flat_map(|r| leases.split_by_token(service, r));
-            let assigned = parts.collect();
-            for range in &ranges {
-                leases.drop_tokens(service, range.from, range.to);
-            }
-            assigned
-        };
-        let event = Event::new("fleet.assign")
-            .service(service)
-            .server(&incarnation.server);
-        self.journal
-            .record(event.detail(&format!("{} key ranges", assigned.len())));
-        self.propose_fleet(Change::Assign {
-            service: Arc::clone(service),
-            incarnation: incarnation.clone(),
-            ranges: assigned,
-        })
-        .await
+        self.assign(leading_since, service, incarnation, &ranges)
+            .await
     }
 
     /// Waits until `deadline` for ranges whose next owner is `incarnation` to become free, and
@@ -195,15 +175,16 @@
     }
 
     /// Wanted ranges whose present owner is proved to hold them no longer.
-    fn free_ranges<F>(&self, leading_since: Instant, service: &str, wanted: F) -> Vec<KeyRange>
+    pub(super) fn free_ranges<F>(&self, leading_since: Instant, service: &str, wanted: F) -> Vec<KeyRange>
     where
         F: Fn(&KeyRange) -> bool,
     {
         let now = clock::now();
         let leases = self.leases(leading_since);
+        let delivery = self.delivery(service);
         self.with_fleet(|store| {
             let ranges = store.ranges(service).into_iter().flat_map(RangeMap::iter);
-            let free = ranges.filter(|r| wanted(r) && leases.is_free(r, store, now));
+            let free = ranges.filter(|r| wanted(r) && leases.is_free(r, store, delivery, now));
             free.cloned().collect()
         })
     }
@@ -218,7 +199,10 @@
     service: &str,
     now: Instant,
 ) -> Vec<Candidate> {
-    let is_silent = |s: &Server| leases.is_silent(&s.incarnation, SILENCE_LIMIT, now);
+    let is_silent = |s: &Server| {
+        leases.is_silent(&s.incarnation, SILENCE_LIMIT, now)
+            || leases.calls().is_unreachable(&s.incarnation, now)
+    };
     let owns_keys = |s: &Server| {
         let mut ranges = store.ranges(service).into_iter().flat_map(RangeMap::iter);
         ranges.any(|r| r.owner.as_ref() == Some(&s.incarnation) && r.next.is_none())
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -35,7 +35,7 @@
     Heartbeat {
         server: server(name, 1, 1),
         sequence,
-        held: held.iter().map(range).collect(),
+        held: Some(held.iter().map(range).collect()),
         released: Vec::new(),
     }
 }
--- a/src/table/model.rs
+++ b/src/table/model.rs
@@ -117,6 +117,17 @@
     }
 }
 
+/// How the owners of keys are told which keys they own.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Delivery {
+    /// In the responses to their heartbeats.
+    #[default]
+    Heartbeat,
+    /// By calls to them.
+    Call,
+}
+
 /// A service that backend servers register for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -128,6 +139,9 @@
     /// Whether each key has one owner among the backend servers.
     #[serde(rename = "owned")]
     pub sharded: bool,
+    /// How owners are told which keys they own.
+    #[serde(default)]
+    pub delivery: Delivery,
     /// The service as received from the operator.
     #[serde(rename = "written", default, skip_serializing_if = "Value::is_null")]
     pub source: Value,
@@ -141,6 +155,7 @@
             name: Arc::clone(&self.name),
             max_connections: self.max_connections,
             sharded: self.sharded,
+            delivery: self.delivery,
             source: Value::Null,
         }
     }
--- a/src/table/store.rs
+++ b/src/table/store.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::change::{Body, Change, Digest, Patch, Update};
-use super::model::Table;
+use super::model::{Service, Table};
 use super::modified::ModifiedIndex;
 use super::validate::{self, ValidationError};
 use crate::ids;
@@ -79,6 +79,12 @@
         services.any(|s| &*s.name == service && s.sharded)
     }
 
+    /// A service of the newest table.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        let mut services = self.current.iter().flat_map(|t| &t.services);
+        services.find(|s| &*s.name == name)
+    }
+
     /// Applies a change if it is valid; the outcome is the same on every VM.
     pub fn apply(&mut self, index: ids::LogIndex, change: Change) -> Outcome {
         if self.accepted.get(&change.version) == Some(&change.digest) {
--- a/src/web/connection.rs
+++ b/src/web/connection.rs
@@ -56,6 +56,15 @@
         Self::new(stream)
     }
 
+    /// Like [`Self::with_ack_timeout`]; dropping the connection resets it, so that sent bytes which
+    /// the other end has not received are never delivered.
+    pub fn with_reset(stream: TcpStream, timeout: Duration) -> Self {
+        if let Err(error) = socket::set_reset_on_close(stream.as_raw_fd()) {
+            log::debug!("event=web.no_reset error={:?}", error.to_string());
+        }
+        Self::with_ack_timeout(stream, timeout)
+    }
+
     /// Reads into the buffer; returns the number of bytes, 0 at the end of the stream.
     ///
     /// # Errors
--- a/src/web/socket.rs
+++ b/src/web/socket.rs
@@ -60,6 +60,33 @@
     }
 }
 
+/// Makes closing the connection of `fd` reset it.
+///
+/// # Errors
+///
+/// The error of the operating system.
+pub fn set_reset_on_close(fd: RawFd) -> io::Result<()> {
+    let linger = libc::linger {
+        l_onoff: 1,
+        l_linger: 0,
+    };
+    let length = libc::socklen_t::try_from(size_of_val(&linger)).map_err(io::Error::other)?;
+    // SAFETY: the pointer and the length are those of a live structure.
+    let result = unsafe {
+        libc::setsockopt(
+            fd,
+            libc::SOL_SOCKET,
+            libc::SO_LINGER,
+            (&raw const linger).cast(),
+            length,
+        )
+    };
+    match result {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 /// Sends the interim response for which the caller waits before it sends the body.
 ///
 /// The send buffer is empty at this point. Should the few bytes not fit after
