--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -4,6 +4,7 @@
 use crate::fleet::leases::Leases;
 use crate::fleet::messages::ReleasedRange;
 use crate::fleet::{Change, KeyRange, ServerState, Store};
+use crate::table::Delivery;
 
 const MAX_LEASE: Duration = Duration::from_secs(4);
 
@@ -42,54 +43,54 @@
 fn only_a_heartbeat_after_the_next_owner_was_named_proves_that_keys_are_free() {
     let (store, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now);
+    let mut leases = Leases::new(MAX_LEASE, now, 0);
     assert!(leases.record_heartbeat(&heartbeat("a", 1, &[]), 4, now));
     leases.record_grant(&incarnation("a", 1), now);
     assert!(
-        !leases.is_free(&range, &store, now),
+        !leases.is_free(&range, &store, Delivery::Heartbeat, now),
         "a response that grants them may be in flight"
     );
     assert!(leases.record_heartbeat(&heartbeat("a", 2, &[(5, 20)]), 5, now));
     assert!(
-        !leases.is_free(&range, &store, now),
+        !leases.is_free(&range, &store, Delivery::Heartbeat, now),
         "it still processes requests for some"
     );
     assert!(leases.record_heartbeat(&heartbeat("a", 3, &[(10, 20)]), 5, now));
-    assert!(leases.is_free(&range, &store, now));
+    assert!(leases.is_free(&range, &store, Delivery::Heartbeat, now));
 }
 
 #[test]
 fn a_delayed_heartbeat_proves_nothing() {
     let (store, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now);
+    let mut leases = Leases::new(MAX_LEASE, now, 0);
     assert!(leases.record_heartbeat(&heartbeat("a", 7, &[(0, 9)]), 5, now));
     assert!(!leases.record_heartbeat(&heartbeat("a", 6, &[]), 6, now));
     assert!(!leases.record_heartbeat(&heartbeat("a", 7, &[]), 6, now));
-    assert!(!leases.is_free(&range, &store, now));
+    assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now));
 }
 
 #[test]
 fn a_silent_owner_keeps_its_keys_until_its_lease_has_expired() {
     let (store, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now);
+    let mut leases = Leases::new(MAX_LEASE, now, 0);
     leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 5, now);
     leases.record_grant(&incarnation("a", 1), now + Duration::from_secs(1));
-    assert!(!leases.is_free(&range, &store, now + ALL_EXPIRED));
-    assert!(leases.is_free(&range, &store, now + Duration::from_secs(1) + ALL_EXPIRED));
+    assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now + ALL_EXPIRED));
+    assert!(leases.is_free(&range, &store, Delivery::Heartbeat, now + Duration::from_secs(1) + ALL_EXPIRED));
 }
 
 #[test]
 fn a_new_leader_waits_out_leases_of_its_predecessor() {
     let (store, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now);
-    assert!(!leases.is_free(&range, &store, now + MAX_LEASE));
-    assert!(leases.is_free(&range, &store, now + ALL_EXPIRED));
+    let mut leases = Leases::new(MAX_LEASE, now, 0);
+    assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now + MAX_LEASE));
+    assert!(leases.is_free(&range, &store, Delivery::Heartbeat, now + ALL_EXPIRED));
     leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 5, now);
     assert!(
-        !leases.is_free(&range, &store, now + MAX_LEASE),
+        !leases.is_free(&range, &store, Delivery::Heartbeat, now + MAX_LEASE),
         "a heartbeat without a grant of this leader doesn't shorten the wait"
     );
 }
@@ -98,22 +99,22 @@
 fn an_owner_that_left_may_still_run_and_one_that_is_gone_does_not() {
     let (mut store, range) = fixture();
     let now = Instant::now();
-    let leases = Leases::new(MAX_LEASE, now);
+    let leases = Leases::new(MAX_LEASE, now, 0);
     let set_state = |state| Change::SetState {
         incarnation: incarnation("a", 1),
         state,
     };
     store.apply(6, set_state(ServerState::Left));
-    assert!(!leases.is_free(&range, &store, now));
+    assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now));
     store.apply(7, set_state(ServerState::Gone));
-    assert!(leases.is_free(&range, &store, now));
+    assert!(leases.is_free(&range, &store, Delivery::Heartbeat, now));
 }
 
 #[test]
 fn handover_tokens_stay_with_their_keys() {
     let (_, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now);
+    let mut leases = Leases::new(MAX_LEASE, now, 0);
     let mut heartbeat = heartbeat("a", 1, &[]);
     let released = |from, to, token: &str| ReleasedRange {
         from,
@@ -140,11 +141,11 @@
     let (store, range) = fixture();
     let now = Instant::now();
     let later = now + Duration::from_secs(1);
-    let mut leases = Leases::new(MAX_LEASE, now);
+    let mut leases = Leases::new(MAX_LEASE, now, 0);
     leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 5, now);
     leases.record_heartbeat(&heartbeat("a", 2, &[(0, 9)]), 5, later);
     leases.record_grant(&incarnation("a", 1), later);
     leases.record_grant(&incarnation("a", 1), now);
-    assert!(!leases.is_free(&range, &store, now + ALL_EXPIRED));
-    assert!(leases.is_free(&range, &store, later + ALL_EXPIRED));
+    assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now + ALL_EXPIRED));
+    assert!(leases.is_free(&range, &store, Delivery::Heartbeat, later + ALL_EXPIRED));
 }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,3 +1,4 @@
+mod calls;
 mod leases;
 mod plan;
 mod ranges;
--- a/src/gateway/tests/mock.rs
+++ b/src/gateway/tests/mock.rs
@@ -160,6 +160,7 @@
         name: name.into(),
         max_connections: 100,
         sharded,
+        delivery: crate::table::Delivery::Heartbeat,
         source: Value::Null,
     })
 }
--- a/src/table/tests.rs
+++ b/src/table/tests.rs
@@ -29,7 +29,7 @@
         name: name.into(),
         max_connections: 10,
         sharded: false,
-        delivery: Delivery::Heartbeat,
+        delivery: super::Delivery::Heartbeat,
         source: Value::Null,
     };
     Table {
