--- a/src/fleet/call_leases.rs
+++ b/src/fleet/call_leases.rs
@@ -180,6 +180,14 @@
         next > u32::from(run.to)
     }
 
+    /// Whether a grant of some keys is under way; it may arrive after a release that is sent now.
+    pub fn is_granting(&self, incarnation: &Incarnation, run: &Run) -> bool {
+        let sent = self.servers.get(incarnation).map(|s| &s.sent);
+        sent.into_iter()
+            .flatten()
+            .any(|s| s.expiry == Expiry::Unknown && s.run.overlaps(run.from, run.to))
+    }
+
     /// Whether an incarnation may still hold keys of a range that it owns in the log.
     pub fn may_hold(&self, incarnation: &Incarnation, range: &KeyRange, now: Instant) -> bool {
         let run = Run {
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -13,6 +13,7 @@
 use super::load::LoadCounts;
 use super::messages::{Heartbeat, Leave, Observations, Renewal};
 use super::model::{Incarnation, Server, ServerState};
+use super::plan;
 use super::reassign;
 use super::store::{Change, Store};
 use crate::clock;
@@ -32,9 +33,22 @@
 /// over all ranges serves them all.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Time between two rebalancings; a move takes about a second to take effect.
+/// Time between two rebalancings of a service whose keys are delivered by heartbeats: a move takes
+/// about a second to take effect.
 const REBALANCE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two rebalancings of a service whose keys are delivered by calls.
+const CALL_REBALANCE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Rebalancing intervals after which a request counts little, if there are enough requests.
+const LOAD_INTERVALS: f64 = 8.0;
+
+/// Counted requests per backend server at which older ones count little.
+const ENOUGH_REQUESTS: f64 = 40.0;
+
+/// Greatest factor by which requests count for longer if there are few.
+const MAX_LOAD_STRETCH: f64 = 8.0;
+
 /// Time without heartbeats after which a backend server gets no more keys: two intervals between
 /// heartbeats.
 pub(super) const SILENCE_LIMIT: Duration = Duration::from_secs(2);
@@ -51,9 +65,6 @@
 /// Time in which the first backend servers can send a heartbeat before keys are assigned.
 const STARTUP_DELAY: Duration = Duration::from_millis(2500);
 
-/// Factor that the load counts are multiplied by at each rebalancing.
-const LOAD_DECAY: f64 = 0.88;
-
 /// Weight that a relative latency keeps per new sample: about fifteen samples count, which
 /// arrive within a few seconds, and their mean is off by a seventh.
 const SAMPLE_DECAY: f64 = 0.935;
@@ -93,6 +104,8 @@
     pub(super) links: RefCell<Links>,
     leases: RefCell<Option<Leases>>,
     pub(super) loads: RefCell<LoadCounts>,
+    /// When each service was last rebalanced.
+    rebalanced: RefCell<HashMap<ids::ServiceName, Instant>>,
     /// When the first heartbeat was received.
     first_heartbeat: RefCell<Option<Instant>>,
     /// Starts the next pass early.
@@ -121,6 +134,7 @@
             max_lease,
             leases: RefCell::default(),
             loads: RefCell::default(),
+            rebalanced: RefCell::default(),
             first_heartbeat: RefCell::default(),
             latencies: RefCell::default(),
             pass_needed: Notify::default(),
@@ -265,7 +279,7 @@
 
     /// Runs passes over key ranges and backend servers while this VM leads, until the log stops.
     pub async fn run(self: Rc<Self>) {
-        let mut rebalanced = clock::now();
+        let mut cleaned = clock::now();
         loop {
             monoio::time::sleep(MIN_PASS_INTERVAL).await;
             self.pass_needed
@@ -278,15 +292,16 @@
                 continue;
             };
             let now = clock::now();
-            let rebalance = now >= rebalanced + REBALANCE_INTERVAL;
-            if rebalance {
-                rebalanced = now;
+            self.run_pass(leading_since).await;
+            if now >= cleaned + REBALANCE_INTERVAL {
+                cleaned = now;
+                self.prune_links(leading_since);
+                self.remove_silent(leading_since).await;
             }
-            self.run_pass(leading_since, rebalance).await;
         }
     }
 
-    async fn run_pass(self: &Rc<Self>, leading_since: Instant, rebalance: bool) {
+    async fn run_pass(self: &Rc<Self>, leading_since: Instant) {
         let services: Vec<_> = {
             let table = self.state.table.borrow();
             let services = table.current().into_iter().flat_map(|t| &t.services);
@@ -297,9 +312,13 @@
         let is_ready = first_heartbeat.is_some_and(|first| clock::now() >= first + STARTUP_DELAY);
         for service in services.iter().filter(|_| is_ready) {
             self.wake_delayed(leading_since, service);
+            let rebalance = self.is_rebalance_due(service);
             if let Err(error) = self.start_moves(leading_since, service, rebalance).await {
                 ::log::warn!("event=fleet.plan service={service:?} refused={error:?}");
             }
+            if rebalance {
+                self.decay_load(service);
+            }
         }
         for service in &services {
             if self.delivery(service) != Delivery::Call {
@@ -309,11 +328,31 @@
                 ::log::warn!("event=fleet.deliver service={service:?} refused={error:?}");
             }
         }
-        if rebalance {
-            self.prune_links(leading_since);
-            self.loads.borrow_mut().decay(LOAD_DECAY);
-            self.remove_silent(leading_since).await;
+    }
+
+    /// Whether the load of a service is to be evened out now; true once in each interval.
+    fn is_rebalance_due(&self, service: &ids::ServiceName) -> bool {
+        let interval = match self.delivery(service) {
+            Delivery::Heartbeat => REBALANCE_INTERVAL,
+            Delivery::Call => CALL_REBALANCE_INTERVAL,
+        };
+        let now = clock::now();
+        let mut rebalanced = self.rebalanced.borrow_mut();
+        let last = rebalanced.entry(Arc::clone(service)).or_insert(now);
+        let is_due = now >= *last + interval;
+        if is_due {
+            *last = now;
         }
+        is_due
+    }
+
+    /// Makes older requests of a service count less; the fewer there are, the longer they count.
+    fn decay_load(&self, service: &ids::ServiceName) {
+        let servers = self.with_fleet(|store| store.servers_of(service).count().max(1));
+        let mut loads = self.loads.borrow_mut();
+        let requests = loads.total(service) / plan::to_f64(servers);
+        let stretch = (ENOUGH_REQUESTS / requests.max(1.0)).clamp(1.0, MAX_LOAD_STRETCH);
+        loads.decay(service, 1.0 - 1.0 / (LOAD_INTERVALS * stretch));
     }
 
     /// Marks backend servers as gone that have sent no heartbeat for [`GONE_LIMIT`].
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -5,6 +5,7 @@
 
 use super::messages::ServiceLoad;
 use super::model::Key;
+use super::plan;
 use crate::ids;
 
 const KEY_COUNT: f64 = 65536.0;
@@ -39,9 +40,9 @@
         *keys.entry(key).or_insert(0.0) += count;
     }
 
-    /// Multiplies all counts by `factor`.
-    pub fn decay(&mut self, factor: f64) {
-        for keys in self.services.values_mut() {
+    /// Multiplies the counts of a service by `factor`.
+    pub fn decay(&mut self, service: &str, factor: f64) {
+        if let Some(keys) = self.services.get_mut(service) {
             keys.retain(|_, count| {
                 *count *= factor;
                 *count > MIN_COUNT
@@ -70,6 +71,7 @@
         let total = self.total(service);
         if total <= 0.0 {
             return LoadShares {
+                total,
                 base: 1.0 / KEY_COUNT,
                 cumulative: Vec::new(),
             };
@@ -81,6 +83,7 @@
             (*key, sum)
         });
         LoadShares {
+            total,
             base: BASE_SHARE / KEY_COUNT,
             cumulative: cumulative.collect(),
         }
@@ -99,6 +102,8 @@
 /// Share of each key in the load of a service; all shares sum to 1.
 #[derive(Clone, Debug)]
 pub struct LoadShares {
+    /// Number of requests that the shares were computed from.
+    total: f64,
     /// Share that every key has, with or without requests.
     base: f64,
     /// Requested keys in order, each with the sum of the shares above the base up to it.
@@ -106,6 +111,15 @@
 }
 
 impl LoadShares {
+    /// Standard deviation of the count of one of `servers` equally loaded ones, relative to the
+    /// mean; 0 without requests.
+    pub fn noise(&self, servers: usize) -> f64 {
+        match self.total {
+            total if total > 0.0 => (plan::to_f64(servers) / total).sqrt(),
+            _ => 0.0,
+        }
+    }
+
     /// Share of the keys `from..=to`.
     pub fn range_share(&self, from: Key, to: Key) -> f64 {
         let key_count = f64::from(to.saturating_sub(from)) + 1.0;
--- a/src/fleet/orders.rs
+++ b/src/fleet/orders.rs
@@ -54,7 +54,7 @@
         while let Some(next) = ranges.next_if(&continues) {
             run.to = next.to;
         }
-        if to_release && !calls.is_released(owner, &run) {
+        if to_release && !calls.is_released(owner, &run) && !calls.is_granting(owner, &run) {
             let orders = orders.entry(owner.clone()).or_default();
             orders.releases.push(run);
         }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -10,14 +10,16 @@
 /// heartbeats stay small.
 pub const MAX_RANGES_PER_SERVER: usize = 64;
 
-/// Ratio of a load to the mean from which on a backend server gives away keys.
-///
-/// A lower one would react to the noise of a few hundred requests.
+/// Least ratio of a load to the mean from which on a backend server gives away keys.
 const OVERLOAD_RATIO: f64 = 1.4;
 
-/// Ratio of a load to the mean below which a backend server gets more keys, as a new one does.
+/// Greatest ratio of a load to the mean below which a backend server gets more keys.
 const UNDERLOAD_RATIO: f64 = 0.5;
 
+/// Ratio of a load to the mean below which a backend server always gets more keys, as a new one
+/// does.
+const IDLE_RATIO: f64 = 0.05;
+
 /// Ratio of a load to the mean up to which a backend server gets more keys.
 const FILL_RATIO: f64 = 1.1;
 
@@ -167,8 +169,23 @@
         self.ranges = ranges;
     }
 
+    /// Ratios of loads to the mean below and above which keys are moved.
+    ///
+    /// Answers the load pattern of many servers with few requests each: the busiest and the idlest
+    /// of them are off the mean by chance, the more so the more servers there are.
+    fn tolerated_ratios(&self) -> (f64, f64) {
+        let servers = self.candidates.len();
+        let expected_extreme = (2.0 * to_f64(servers.max(2)).ln()).sqrt();
+        let deviation = expected_extreme * self.shares.noise(servers);
+        (
+            (1.0 - deviation).clamp(IDLE_RATIO, UNDERLOAD_RATIO),
+            (1.0 + deviation).max(OVERLOAD_RATIO),
+        )
+    }
+
     /// Moves keys from the most to the least loaded candidates.
     fn rebalance(&mut self) {
+        let (underload, overload) = self.tolerated_ratios();
         let weights: f64 = self.candidates.iter().map(|c| c.weight).sum();
         let mean = 1.0 / weights;
         let mut loads = self.loads();
@@ -180,7 +197,7 @@
             let excess = (load(donor) - mean) * self.weight(donor);
             let headroom = (FILL_RATIO * mean - load(recipient)) * self.weight(recipient);
             let unbalanced =
-                load(donor) >= OVERLOAD_RATIO * mean || load(recipient) < UNDERLOAD_RATIO * mean;
+                load(donor) >= overload * mean || load(recipient) < underload * mean;
             if !unbalanced || headroom <= 0.0 {
                 return;
             }
@@ -278,7 +295,7 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
-const fn to_f64(number: usize) -> f64 {
+pub(super) const fn to_f64(number: usize) -> f64 {
     number as f64
 }
 
--- a/src/fleet/tests/calls.rs
+++ b/src/fleet/tests/calls.rs
@@ -378,6 +378,9 @@
     }
 }
 
+/// Seeds of cases that failed once: a grant that arrived after a release.
+const FAILED_SEEDS: [u64; 1] = [149];
+
 fn case_count() -> u64 {
     let asked = std::env::var("AGATEYOKE_CASES");
     asked.ok().and_then(|c| c.parse().ok()).unwrap_or(CASE_COUNT)
@@ -415,7 +418,7 @@
 
 #[test]
 fn no_key_has_two_holders_and_none_stays_without_one() {
-    for seed in 0..case_count() {
+    for seed in (0..case_count()).chain(FAILED_SEEDS) {
         arbtest(|u| {
             let salt: u64 = u.arbitrary()?;
             eprintln!("seed {seed}");
