--- a/src/table/store.rs
+++ b/src/table/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +39,9 @@
     routes: ModifiedIndex,
     #[serde(default)]
     services: ModifiedIndex,
+    /// Longest latency target that any table had for a service.
+    #[serde(default)]
+    longest_targets: BTreeMap<ids::ServiceName, Duration>,
 }
 
 impl Store {
@@ -85,6 +89,25 @@
         services.find(|s| &*s.name == name)
     }
 
+    /// Longest latency target of the routes to a service, of all tables so far.
+    ///
+    /// It never falls, so that a lease which is derived from it is not longer than a later one.
+    pub fn longest_target(&self, service: &str) -> Duration {
+        self.longest_targets
+            .get(service)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    fn record_targets(&mut self, table: &Table) {
+        for route in &table.routes {
+            for service in route.services() {
+                let longest = self.longest_targets.entry(Arc::clone(service)).or_default();
+                *longest = route.latency_target.max(*longest);
+            }
+        }
+    }
+
     /// Applies a change if it is valid; the outcome is the same on every VM.
     pub fn apply(&mut self, index: ids::LogIndex, change: Change) -> Outcome {
         if self.accepted.get(&change.version) == Some(&change.digest) {
@@ -107,6 +130,7 @@
         if let Err(error) = validate::validate(&table) {
             return Outcome::Refused(error);
         }
+        self.record_targets(&table);
         let old = self.current.take().unwrap_or_default();
         self.routes
             .record_changes(index, &old.routes, &table.routes, |r| &r.name);
