Leases as long as the latency target of their service

Cause: on the large site 20 % of the requests to depot-desk ended with a 500 of the server: a range that moves is not renewed, and work of 1.5 to 2.5 s at the mean (up to 19 s) outlasts what is left of 3.5 s. Change: a lease lasts as long as the longest latency target that any table had for the service, at least 3.5 s; entry VMs expect a failover after as long.

--- a/src/fleet/call_leases.rs
+++ b/src/fleet/call_leases.rs
@@ -70,6 +70,7 @@
 #[derive(Clone, Debug)]
 struct SentGrant {
     run: Run,
+    duration: Duration,
     sent_at: Instant,
     expiry: Expiry,
 }
@@ -85,33 +86,26 @@
 }
 
 /// Grants that were sent by calls, and what is known of their ends.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct CallLeases {
-    duration: Duration,
     servers: HashMap<Incarnation, ServerCalls>,
 }
 
 impl CallLeases {
-    /// Creates an empty book of leases of `duration`.
-    pub fn new(duration: Duration) -> Self {
-        Self {
-            duration,
-            servers: HashMap::new(),
-        }
-    }
-
-    /// Longest time from the arrival of a call to the end of its lease, by this VM's clock.
-    fn longest_lease(&self) -> Duration {
-        self.duration.mul_f64(CLOCK_DRIFT_FACTOR)
-    }
-
-    /// Records that a grant is about to be sent.
-    pub fn record_sent(&mut self, incarnation: &Incarnation, run: Run, now: Instant) {
+    /// Records that a grant for `duration` is about to be sent.
+    pub fn record_sent(
+        &mut self,
+        incarnation: &Incarnation,
+        run: Run,
+        duration: Duration,
+        now: Instant,
+    ) {
         let server = self.servers.entry(incarnation.clone()).or_default();
         server.sent.retain(|s| !s.expiry.is_over(now));
         server.released.retain(|r| !r.overlaps(run.from, run.to));
         server.sent.push(SentGrant {
             run,
+            duration,
             sent_at: now,
             expiry: Expiry::Unknown,
         });
@@ -119,7 +113,6 @@
 
     /// Records that the grant that is under way was applied.
     pub fn record_answered(&mut self, incarnation: &Incarnation, run: Run, now: Instant) {
-        let expires = now + self.longest_lease();
         let Some(server) = self.servers.get_mut(incarnation) else {
             return;
         };
@@ -127,16 +120,16 @@
             matches!(s.expiry, Expiry::Answered(_)) && run.contains(&s.run)
         };
         server.sent.retain(|s| !is_older(s));
-        server.settle(run, Some(Expiry::Answered(expires)));
+        server.settle(run, |lease| Some(Expiry::Answered(now + lease)));
         server.failing_since = None;
         server.failed_at = None;
     }
 
     /// Records that the grant that is under way got no response and its connection was reset.
     pub fn record_unanswered(&mut self, incarnation: &Incarnation, run: Run, now: Instant) {
-        let expires = now + RESET_MARGIN + self.longest_lease();
         if let Some(server) = self.servers.get_mut(incarnation) {
-            server.settle(run, Some(Expiry::Unanswered(expires)));
+            let expiry = |lease| Some(Expiry::Unanswered(now + RESET_MARGIN + lease));
+            server.settle(run, expiry);
         }
         self.record_failure(incarnation, now);
     }
@@ -144,7 +137,7 @@
     /// Records that the grant that is under way was refused or not sent.
     pub fn record_refused(&mut self, incarnation: &Incarnation, run: Run) {
         if let Some(server) = self.servers.get_mut(incarnation) {
-            server.settle(run, None);
+            server.settle(run, |_| None);
         }
     }
 
@@ -257,16 +250,20 @@
 }
 
 impl ServerCalls {
-    /// Sets the expiry of the grant that is under way, or removes the grant.
-    fn settle(&mut self, run: Run, expiry: Option<Expiry>) {
+    /// Sets the expiry of the grant that is under way, or removes the grant; `expiry` gets the longest
+    /// time from its arrival to its end.
+    fn settle<F>(&mut self, run: Run, expiry: F)
+    where
+        F: Fn(Duration) -> Option<Expiry>,
+    {
         let under_way = |s: &SentGrant| s.run == run && s.expiry == Expiry::Unknown;
         let Some(index) = self.sent.iter().position(under_way) else {
             return;
         };
-        match (expiry, self.sent.get_mut(index)) {
-            (Some(expiry), Some(sent)) => sent.expiry = expiry,
-            (None, _) => drop(self.sent.remove(index)),
-            (Some(_), None) => {}
+        let sent = self.sent.get_mut(index);
+        match sent.and_then(|s| Some((expiry(s.duration.mul_f64(CLOCK_DRIFT_FACTOR))?, s))) {
+            Some((expiry, sent)) => sent.expiry = expiry,
+            None => drop(self.sent.remove(index)),
         }
     }
 }
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -9,7 +9,7 @@
 
 use super::courier::CallFormat;
 use super::delivery::Links;
-use super::leases::Leases;
+use super::leases::{self, Leases};
 use super::load::LoadCounts;
 use super::messages::{Heartbeat, Leave, Observations, Renewal};
 use super::model::{Incarnation, Server, ServerState};
@@ -245,10 +245,11 @@
         if self.log.leading_since() != Some(leading_since) {
             return Err(RequestError::NotLeader);
         }
+        let duration = self.lease_duration(service);
         self.leases(leading_since)
-            .record_grant(&incarnation, received);
+            .record_grant(&incarnation, duration, received);
         let lease =
-            self.with_fleet(|store| reassign::lease(store, service, &incarnation, self.max_lease));
+            self.with_fleet(|store| reassign::lease(store, service, &incarnation, duration));
         Ok(Renewal {
             lease: Some(lease),
             heartbeat_address: None,
@@ -448,11 +449,28 @@
     pub(super) fn leases(&self, leading_since: Instant) -> RefMut<'_, Leases> {
         RefMut::map(self.leases.borrow_mut(), |leases| {
             let current = leases.take().filter(|l| l.leading_since() == leading_since);
-            let new = || Leases::new(self.max_lease, leading_since, self.log.applied_index());
+            let new = || {
+                let index = self.log.applied_index();
+                Leases::new(self.longest_lease(), leading_since, index)
+            };
             leases.insert(current.unwrap_or_else(new))
         })
     }
 
+    /// Duration of leases on the keys of a service.
+    pub(super) fn lease_duration(&self, service: &str) -> Duration {
+        let target = self.state.table.borrow().longest_target(service);
+        leases::lease_duration(target, self.max_lease)
+    }
+
+    /// Longest lease of all services.
+    fn longest_lease(&self) -> Duration {
+        let table = self.state.table.borrow();
+        let services = table.current().into_iter().flat_map(|t| &t.services);
+        let targets = services.filter(|s| s.sharded).map(|s| table.longest_target(&s.name));
+        leases::lease_duration(targets.max().unwrap_or_default(), self.max_lease)
+    }
+
     /// How the owners of keys of a service are told which keys they own.
     pub(super) fn delivery(&self, service: &str) -> Delivery {
         let table = self.state.table.borrow();
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -15,7 +15,6 @@
 use super::coordinator::Coordinator;
 use super::courier::CallFormat;
 use super::frontend::Frontend;
-use super::leases;
 use super::model::{Vm, VmRole};
 use crate::control::state::State;
 use crate::log;
@@ -158,12 +157,11 @@
             return None;
         }
     };
-    let max_lease = settings.lease.min(leases::MAX_LEASE);
     let coordinator = Coordinator::new(
         handle.clone(),
         state,
         journal.clone(),
-        max_lease,
+        settings.lease,
         format.clone(),
     );
     monoio::spawn(Rc::clone(&coordinator).run());
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -142,6 +142,7 @@
         grants: Vec<GrantedRange>,
     ) {
         let incarnation = &server.incarnation;
+        let duration = self.lease_duration(&server.service);
         for grant in grants {
             let run = Run {
                 from: grant.from,
@@ -156,11 +157,11 @@
                 format: &self.format,
                 address: server.address,
                 incarnation,
-                call: (self.format.grant)(&grant, self.max_lease),
+                call: (self.format.grant)(&grant, duration),
             };
             self.leases(leading_since)
                 .calls_mut()
-                .record_sent(incarnation, run, clock::now());
+                .record_sent(incarnation, run, duration, clock::now());
             let outcome = link.send_grant(request, may_send).await;
             let now = clock::now();
             let mut leases = self.leases(leading_since);
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -15,11 +15,18 @@
 use crate::ids;
 use crate::table::Delivery;
 
-/// Lease of a backend server, unless the settings ask for a shorter one.
+/// Lease of a backend server whose requests are short.
 ///
 /// The keys of a crashed server are unrouted for this long, but an election and the
 /// heartbeats that fail meanwhile must fit into it.
-pub const MAX_LEASE: Duration = Duration::from_millis(3500);
+pub const MIN_LEASE: Duration = Duration::from_millis(3500);
+
+/// Lease of a service whose requests are to be answered within `latency_target`, up to `max`.
+///
+/// A backend server aborts work that outlasts its lease, and a range that moves is not renewed.
+pub fn lease_duration(latency_target: Duration, max: Duration) -> Duration {
+    latency_target.max(MIN_LEASE).min(max)
+}
 
 /// Factor on lease durations for slow clocks of backend servers: twice a drift of 2 %.
 pub(super) const CLOCK_DRIFT_FACTOR: f64 = 1.04;
@@ -46,7 +53,8 @@
 /// Leases of all backend servers, as far as known to this leader.
 #[derive(Debug)]
 pub struct Leases {
-    max_lease: Duration,
+    /// Longest lease that an earlier leader may have granted.
+    predecessor_lease: Duration,
     /// When this VM became the leader.
     leading_since: Instant,
     /// Log index that was applied then; ranges with a higher fence were assigned by this leader.
@@ -58,18 +66,20 @@
 
 impl Leases {
     /// Leases of a VM that became the leader at `leading_since`, when `first_index` was applied.
+    ///
+    /// `predecessor_lease` is the longest lease that an earlier leader may have granted.
     pub fn new(
-        max_lease: Duration,
+        predecessor_lease: Duration,
         leading_since: Instant,
         first_index: ids::LogIndex,
     ) -> Self {
         Self {
-            max_lease,
+            predecessor_lease,
             leading_since,
             first_index,
             heartbeats: HashMap::new(),
             released: BTreeMap::new(),
-            calls: CallLeases::new(max_lease),
+            calls: CallLeases::default(),
         }
     }
 
@@ -133,13 +143,18 @@
     }
 
     /// Records a lease granted in response to a heartbeat received at `received`.
-    pub fn record_grant(&mut self, incarnation: &Incarnation, received: Instant) {
+    pub fn record_grant(
+        &mut self,
+        incarnation: &Incarnation,
+        duration: Duration,
+        received: Instant,
+    ) {
         let last = self.heartbeats.get_mut(&incarnation.server);
         if let Some(last) = last.filter(|l| l.incarnation == *incarnation) {
             // An earlier heartbeat may be answered after a later one.
             last.expires = last
                 .expires
-                .max(Some(received + self.max_lease.mul_f64(CLOCK_DRIFT_FACTOR)));
+                .max(Some(received + duration.mul_f64(CLOCK_DRIFT_FACTOR)));
         }
     }
 
@@ -173,7 +188,7 @@
 
     /// End of the longest lease that an earlier leader may have granted in a heartbeat.
     fn predecessor_expiry(&self) -> Instant {
-        self.leading_since + self.max_lease.mul_f64(CLOCK_DRIFT_FACTOR)
+        self.leading_since + self.predecessor_lease.mul_f64(CLOCK_DRIFT_FACTOR)
     }
 
     fn newest(&self, incarnation: &Incarnation) -> Option<&LastHeartbeat> {
--- a/src/fleet/tests/calls.rs
+++ b/src/fleet/tests/calls.rs
@@ -280,7 +280,7 @@
             self.grants_sent += 1;
             self.leases
                 .calls_mut()
-                .record_sent(incarnation, call.run(), self.now);
+                .record_sent(incarnation, call.run(), LEASE, self.now);
         }
         self.calls.push(call);
     }
@@ -402,7 +402,7 @@
     let runs = {
         let due = orders::due(
             model.store.ranges(SERVICE).unwrap(),
-            &crate::fleet::call_leases::CallLeases::new(LEASE),
+            &crate::fleet::call_leases::CallLeases::default(),
             |_| true,
             model.now,
         );
--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -45,7 +45,7 @@
     let now = Instant::now();
     let mut leases = Leases::new(MAX_LEASE, now, 0);
     assert!(leases.record_heartbeat(&heartbeat("a", 1, &[]), 4, now));
-    leases.record_grant(&incarnation("a", 1), now);
+    leases.record_grant(&incarnation("a", 1), MAX_LEASE, now);
     assert!(
         !leases.is_free(&range, &store, Delivery::Heartbeat, now),
         "a response that grants them may be in flight"
@@ -76,7 +76,7 @@
     let now = Instant::now();
     let mut leases = Leases::new(MAX_LEASE, now, 0);
     leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 5, now);
-    leases.record_grant(&incarnation("a", 1), now + Duration::from_secs(1));
+    leases.record_grant(&incarnation("a", 1), MAX_LEASE, now + Duration::from_secs(1));
     assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now + ALL_EXPIRED));
     assert!(leases.is_free(&range, &store, Delivery::Heartbeat, now + Duration::from_secs(1) + ALL_EXPIRED));
 }
@@ -144,8 +144,8 @@
     let mut leases = Leases::new(MAX_LEASE, now, 0);
     leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 5, now);
     leases.record_heartbeat(&heartbeat("a", 2, &[(0, 9)]), 5, later);
-    leases.record_grant(&incarnation("a", 1), later);
-    leases.record_grant(&incarnation("a", 1), now);
+    leases.record_grant(&incarnation("a", 1), MAX_LEASE, later);
+    leases.record_grant(&incarnation("a", 1), MAX_LEASE, now);
     assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now + ALL_EXPIRED));
     assert!(leases.is_free(&range, &store, Delivery::Heartbeat, later + ALL_EXPIRED));
 }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -7,7 +7,6 @@
 
 use super::backend::Backend;
 use super::response::{BackendResponse, LocalResponse};
-use crate::fleet::leases;
 
 /// Suggested wait when all backend servers are full: the time of several requests.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -18,9 +17,8 @@
 /// Suggested wait when no backend server is reachable.
 pub(super) const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Time after which the keys of an unreachable owner have a new one, if failover is
-/// possible at all.
-const FAILOVER_TIME: Duration = leases::MAX_LEASE.saturating_add(Duration::from_millis(400));
+/// Time from the end of a lease until the keys have a new owner, if failover is possible at all.
+const FAILOVER_MARGIN: Duration = Duration::from_millis(400);
 
 /// Attempts made for one request.
 #[derive(Default)]
@@ -91,16 +89,17 @@
     }
 }
 
-/// Decides whether to wait for another owner of an unreachable one's keys; `Err` if none is
-/// expected by `until`.
+/// Decides whether to wait for another owner of an unreachable one's keys, whose lease takes
+/// `lease`; `Err` if none is expected by `until`.
 pub(super) fn await_failover(
     backend: &Backend,
+    lease: Duration,
     now: Instant,
     until: Instant,
 ) -> Result<OwnerUnavailable, OwnerUnavailable> {
     let failover = backend
         .unreachable_since()
-        .map(|since| since + FAILOVER_TIME);
+        .map(|since| since + lease + FAILOVER_MARGIN);
     match failover.map(|f| f.saturating_duration_since(now)) {
         Some(after) if now + after <= until => Ok(OwnerUnavailable::Resting(after)),
         after => Err(OwnerUnavailable::Resting(after.unwrap_or(MOVE_RETRY_AFTER))),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -369,7 +369,7 @@
                 let routing = self.gateway.routing.borrow();
                 match routing.owner(&self.service, key) {
                     KeyOwner::Backend(b) if b.is_backing_off(now) => {
-                        attempts::await_failover(&b, now, until)?
+                        attempts::await_failover(&b, routing.lease(&self.service), now, until)?
                     }
                     KeyOwner::Backend(b) if !b.is_ready() => OwnerUnavailable::NotReady,
                     KeyOwner::Backend(b) if misdirected(&b) => OwnerUnavailable::Moving,
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::backend::Backend;
 use super::selection;
+use crate::fleet::leases;
 use crate::fleet::messages::RelativeLatency;
 use crate::fleet::updates::{RangeOwner, Updates};
 use crate::fleet::{Key, Server, ServerState, Vm, VmRole};
@@ -110,6 +112,14 @@
         of_service.map(|r| r.rank).min()
     }
 
+    /// Expected duration of the leases of a service's key owners.
+    pub fn lease(&self, service: &str) -> Duration {
+        let routes = self.table.iter().flat_map(|t| &t.routes);
+        let of_service = routes.filter(|r| r.services().any(|s| **s == *service));
+        let target = of_service.map(|r| r.latency_target).max();
+        leases::lease_duration(target.unwrap_or_default(), Duration::MAX)
+    }
+
     /// Returns the backend servers of a service.
     pub fn backends(&self, service: &str) -> &[Rc<Backend>] {
         self.services.get(service).map_or(&[], |b| b)
