Pause after a new connection was dropped; fewer key ranges a server on large fleets

Cause: one busy key on a grown site: 90 entry VMs opened connections over the server's limit, 10,379 were reset and 7,366 requests ended with 502 without having reached it. A large fleet's heartbeats carry 16 key ranges a server, which spread nothing more than three do. Change: an entry VM pauses after a dropped new connection, 80 ms to 1.6 s, at random, and refuses at once what can't be served within its target; 1024 ranges in all after the first assignment, 3 to 16 a server.

--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -29,9 +29,16 @@
 /// Backend servers per allowed move of a rebalancing: busy keys spread over a part of all servers.
 const SERVERS_PER_MOVE: usize = 4;
 
-/// Ranges that each backend server gets in the first assignment. Busy keys are close to one
+/// Most ranges that a backend server gets in the first assignment. Busy keys are close to one
 /// another, so many small ranges spread them, but each range costs bytes in every heartbeat.
-const INITIAL_RANGES: usize = 16;
+const MAX_INITIAL_RANGES: usize = 16;
+
+/// Least number of such ranges.
+const MIN_INITIAL_RANGES: usize = 3;
+
+/// Ranges of all backend servers after the first assignment: many servers spread neighbouring keys
+/// with few ranges each.
+const INITIAL_RANGES: usize = 1024;
 
 /// Ranges that the mean load of a server is divided into when unowned keys are assigned.
 const RANGES_PER_MEAN_LOAD: f64 = 3.0;
@@ -111,13 +118,15 @@
     /// Assigns all keys anew, to each candidate by its weight.
     fn assign_all(&mut self) {
         let total: f64 = self.candidates.iter().map(|c| c.weight).sum();
-        let final_turn = (INITIAL_RANGES, self.candidates.len());
+        let rounds = INITIAL_RANGES / self.candidates.len().max(1);
+        let rounds = rounds.clamp(MIN_INITIAL_RANGES, MAX_INITIAL_RANGES);
+        let final_turn = (rounds, self.candidates.len());
         let mut from = Some(0);
         self.ranges.clear();
-        for round in 1..=INITIAL_RANGES {
+        for round in 1..=rounds {
             for (i, candidate) in self.candidates.iter().enumerate() {
                 let Some(first) = from else { return };
-                let share = candidate.weight / total / to_f64(INITIAL_RANGES);
+                let share = candidate.weight / total / to_f64(rounds);
                 let end = if (round, i + 1) == final_turn {
                     Some(Key::MAX)
                 } else {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -53,6 +53,8 @@
     NotReady,
     /// The owner has no capacity.
     Full,
+    /// The owner is overloaded; time until it may have capacity again.
+    Overloaded(Duration),
 }
 
 impl Attempts {
@@ -75,6 +77,13 @@
                 MOVE_RETRY_AFTER.max(*after),
                 "the holder can't be reached",
             ),
+            Attempts {
+                unavailable: Some(OwnerUnavailable::Overloaded(after)),
+                ..
+            } => LocalResponse::unavailable(
+                FULL_RETRY_AFTER.max(*after),
+                "the holder has no room",
+            ),
             _ if has_key => {
                 LocalResponse::unavailable(MOVE_RETRY_AFTER, "the key has no holder now")
             }
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -32,6 +32,13 @@
 /// Longest backoff, short enough that a recovered server is noticed soon.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Pause after the first sign that a server is overloaded; doubles with each further one and halves
+/// with each response.
+const MIN_OVERLOAD_PAUSE: Duration = Duration::from_millis(80);
+
+/// Longest such pause.
+const MAX_OVERLOAD_PAUSE: Duration = Duration::from_millis(1600);
+
 /// Time in which the reported load of other entry VMs fades to zero.
 const REPORTED_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
 
@@ -65,6 +72,8 @@
     consecutive_failures: Cell<u32>,
     backoff_until: Cell<Option<Instant>>,
     unreachable_since: Cell<Option<Instant>>,
+    overload_pause: Cell<Duration>,
+    overloaded_until: Cell<Option<Instant>>,
 }
 
 impl Backend {
@@ -87,6 +96,8 @@
             consecutive_failures: Cell::new(0),
             backoff_until: Cell::new(None),
             unreachable_since: Cell::new(None),
+            overload_pause: Cell::new(Duration::ZERO),
+            overloaded_until: Cell::new(None),
         })
     }
 
@@ -181,6 +192,7 @@
         self.silent_since
             .set(Some(now).filter(|_| self.in_flight.get() > 0));
         self.unreachable_since.set(None);
+        self.overload_pause.set(self.overload_pause.get() / 2);
         if !failed {
             self.consecutive_failures.set(0);
             self.backoff_until.set(None);
@@ -206,6 +218,28 @@
         self.load_reported_at.set(clock::now());
     }
 
+    /// Records that the server dropped a new connection unanswered, as it does with those over its
+    /// limit.
+    ///
+    /// Answers the load pattern of a busy key: many entry VMs send to one server, each of them seldom,
+    /// and their new connections take the place of responses. The pauses differ at random, so that
+    /// the VMs don't return all at once.
+    pub fn record_overload(&self) {
+        let pause = self.overload_pause.get().saturating_mul(2);
+        let pause = pause.clamp(MIN_OVERLOAD_PAUSE, MAX_OVERLOAD_PAUSE);
+        self.overload_pause.set(pause);
+        let until = clock::now() + pause.mul_f64(0.5 + fastrand::f64());
+        self.overloaded_until.set(Some(until));
+    }
+
+    /// Time until the server gets requests again after it was overloaded; zero if it does.
+    pub fn overloaded_for(&self, now: Instant) -> Duration {
+        let until = self.overloaded_until.get();
+        until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(now)
+        })
+    }
+
     /// Records a failed connection attempt.
     pub fn record_unreachable(&self) {
         self.idle.borrow_mut().clear();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -56,6 +56,8 @@
     NotSent(&'static str),
     /// The request may have run; the response is missing or incomplete.
     Interrupted(&'static str),
+    /// The server dropped a new connection without a response; the request may have run.
+    Dropped,
     /// The request may have run; the response didn't arrive in time.
     TimedOut,
 }
@@ -145,6 +147,7 @@
         length,
     );
     sent.set(true);
+    let is_full_body = matches!(body, RequestBody::Full(_));
     let fully_sent = match body {
         RequestBody::Full(bytes) => {
             head.extend_from_slice(&bytes);
@@ -153,6 +156,9 @@
         RequestBody::Stream(source) => stream_body(&mut connection, head, source).await,
     };
     let Ok(fully_sent) = fully_sent else {
+        if is_new_connection && is_full_body {
+            return Outcome::Dropped;
+        }
         return Outcome::Interrupted("it closed the connection while the request was sent");
     };
     read_response(
@@ -246,6 +252,9 @@
         let ResponseHead { parts, mut body } =
             match read_response_head(&mut connection, attempt).await {
                 Ok(head) => head,
+                Err(_) if is_new_connection && connection.received_bytes() == 0 => {
+                    return Outcome::Dropped;
+                }
                 Err(reason) => return Outcome::Interrupted(reason),
             };
         let response_id = parts.headers.get(&attempt.header_names.request_id);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -260,6 +260,12 @@
                 backend.record_failure(self.key.is_none());
                 attempts.may_have_run = true;
             }
+            Outcome::Dropped => {
+                self.log_attempt(backend, "dropped", "it dropped the connection unanswered");
+                backend.record_failure(self.key.is_none());
+                backend.record_overload();
+                attempts.may_have_run = true;
+            }
             Outcome::TimedOut => {
                 self.log_attempt(backend, "timed_out", "no answer in time");
                 backend.record_failure(self.key.is_none());
@@ -373,6 +379,9 @@
                     }
                     KeyOwner::Backend(b) if !b.is_ready() => OwnerUnavailable::NotReady,
                     KeyOwner::Backend(b) if misdirected(&b) => OwnerUnavailable::Moving,
+                    KeyOwner::Backend(b) if now + b.overloaded_for(now) > until => {
+                        return Err(OwnerUnavailable::Overloaded(b.overloaded_for(now)));
+                    }
                     KeyOwner::Backend(b)
                         if selection::has_capacity(&b, &self.selection_context(&routing)) =>
                     {
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -67,7 +67,8 @@
 /// Whether a backend server can take another request.
 pub fn has_capacity(backend: &Backend, context: &SelectionContext<'_>) -> bool {
     let slots = f64::from(backend.server().slots.max(1));
-    backend.in_flight() < context.max_connections
+    backend.overloaded_for(context.now).is_zero()
+        && backend.in_flight() < context.max_connections
         && backend.load(context.now) < slots * MAX_REQUESTS_PER_SLOT
 }
 
--- a/src/web/connection.rs
+++ b/src/web/connection.rs
@@ -32,6 +32,7 @@
 pub struct HttpConnection {
     stream: TcpStream,
     buffer: BytesMut,
+    received_bytes: u64,
 }
 
 impl HttpConnection {
@@ -44,6 +45,7 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            received_bytes: 0,
         }
     }
 
@@ -79,6 +81,7 @@
         let length = read?;
         let bytes = bytes.get(..length).unwrap_or(&bytes);
         self.buffer.extend_from_slice(bytes);
+        self.received_bytes = self.received_bytes.saturating_add(length as u64);
         Ok(length)
     }
 
@@ -101,6 +104,11 @@
         self.stream.shutdown().await
     }
 
+    /// Number of bytes read since the start of the connection.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes
+    }
+
     /// Number of bytes read and not yet decoded.
     pub fn buffered_bytes(&self) -> usize {
         self.buffer.len()
