Faults that operators met: seven that were known, each with a test

- A view kept entry VMs that were removed: updates name removals now (4096 kept, then the full list).
- A call to the leader followed hints in a circle and asked one VM twice: each VM once, all of them.
- A panic in a call between daemons ended the process: it ends that call, logged and counted.
- drain ignored a result that could not be read and answered 200: it answers 500, may have run.
- Lengths over 4 GiB were written as u32::MAX: commands over 32 MiB and frames over 64 MiB are refused; a frame takes memory as its bytes arrive.
- step_down recorded a transfer that did not take place: the event says what happened.
- Host with an IPv6 address and no port lost its end.
Maps by incarnation are pruned.

--- a/src/control/leader_client.rs
+++ b/src/control/leader_client.rs
@@ -84,8 +84,14 @@
         let deadline = clock::now() + timeout;
         let count = self.inner.vms.len();
         let mut outcome_unknown = false;
+        let mut called = vec![false; count];
         for _ in 0..count {
-            let index = self.inner.leader.get();
+            let Some(index) = self.next_uncalled(&called) else {
+                break;
+            };
+            if let Some(called) = called.get_mut(index) {
+                *called = true;
+            }
             match self.call_vm(index, method, request, deadline).await {
                 Ok(response) => return Ok(response),
                 Err(CallError::Fault(fault)) if fault.code == error::NOT_LEADER => {
@@ -113,6 +119,14 @@
         })
     }
 
+    /// The presumed leader, or the next VM that this call has not tried yet.
+    fn next_uncalled(&self, called: &[bool]) -> Option<usize> {
+        let first = self.inner.leader.get();
+        let indexes = (0..called.len()).map(|i| (first + i) % called.len().max(1));
+        let is_uncalled = |i: &usize| called.get(*i) == Some(&false);
+        { indexes }.find(is_uncalled)
+    }
+
     async fn call_vm<Q, A>(
         &self,
         index: usize,
@@ -165,3 +179,6 @@
             .finish()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -96,6 +96,11 @@
             "the log of this VM has stopped",
             false,
         ),
+        ProposeError::TooLarge => error_response(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the change is too large",
+            false,
+        ),
         ProposeError::OutcomeUnknown => error_response(
             StatusCode::GATEWAY_TIMEOUT,
             "leadership was lost meanwhile; the change may still be accepted, send it again with the same id",
@@ -360,8 +365,10 @@
         draining: on,
     };
     let command = Command::Delegate(delegate::store::Change::SetDrain(drain));
-    if let Err(error) = propose::propose(&control.log, &command).await {
-        return proposal_error(control, &error).await;
+    match propose::propose(&control.log, &command).await {
+        Ok(Applied::Delegate(_)) => {}
+        Ok(other) => return unexpected_result(&other),
+        Err(error) => return proposal_error(control, &error).await,
     }
     let event = Event::new("server.drain").service(&service.into());
     let event = event.server(&server.into());
@@ -376,6 +383,13 @@
     json::response(StatusCode::OK, &draining)
 }
 
+/// The response when the log has a change whose result can't be told.
+fn unexpected_result(applied: &Applied) -> HttpResponse {
+    log::error!("event=control.unexpected applied={applied:?}");
+    let reason = "the result of the change could not be read";
+    error_response(StatusCode::INTERNAL_SERVER_ERROR, reason, true)
+}
+
 fn unknown_service(service: &str) -> HttpResponse {
     let reason = format!("there is no service {service}");
     error_response(StatusCode::NOT_FOUND, &reason, false)
--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -37,6 +37,7 @@
             data: leader.as_ref().map(|vm| serde_json::Value::from(&**vm)),
             ..Fault::new(error::NOT_LEADER, &message)
         },
+        ProposeError::TooLarge => Fault::new(error::BAD_REQUEST, &message),
         ProposeError::OutcomeUnknown => Fault::new(error::OUTCOME_UNKNOWN, &message),
         ProposeError::Stopped => Fault::new(error::NOT_LEADER, &message),
     }
--- a/src/delegate/handler.rs
+++ b/src/delegate/handler.rs
@@ -124,6 +124,8 @@
             documents: (self.documents)(known_index),
             delegations: updates.delegations,
             entry_vms: updates.entry_vms,
+            removed_vms: updates.removed_vms,
+            all_vms: updates.all_vms,
             drains: updates.drains,
         }
     }
--- a/src/delegate/messages.rs
+++ b/src/delegate/messages.rs
@@ -125,6 +125,12 @@
     /// Entry VMs changed after `known_index`.
     #[serde(rename = "entries")]
     pub entry_vms: Vec<EntryVm>,
+    /// Entry VMs removed after `known_index`.
+    #[serde(rename = "removed", default, skip_serializing_if = "Vec::is_empty")]
+    pub removed_vms: Vec<ids::VmName>,
+    /// Whether `entry_vms` are all there are.
+    #[serde(rename = "all_entries", default)]
+    pub all_vms: bool,
     /// Drains changed after `known_index`.
     #[serde(default)]
     pub drains: Vec<Drain>,
--- a/src/delegate/store.rs
+++ b/src/delegate/store.rs
@@ -17,12 +17,21 @@
 use crate::ids;
 use crate::keys;
 
+/// Removals of entry VMs that are kept, so that updates can report them.
+const MAX_REMOVALS: usize = 4096;
+
 /// Entry VMs, delegations and drains.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Store {
     last_epoch: ids::Epoch,
     #[serde(rename = "entries")]
     entry_vms: BTreeMap<ids::VmName, Indexed<EntryVm>>,
+    /// Log positions at which entry VMs were removed; the oldest are dropped.
+    #[serde(default)]
+    removed: BTreeMap<ids::VmName, ids::LogIndex>,
+    /// Log position of the newest removal that was dropped.
+    #[serde(default)]
+    removed_before: ids::LogIndex,
     delegations: BTreeMap<ids::ServiceName, BTreeMap<ids::ZoneName, Indexed<Delegation>>>,
     drains: BTreeMap<ids::ServiceName, BTreeMap<ids::ServerName, Indexed<Drain>>>,
 }
@@ -149,6 +158,10 @@
     pub delegations: Vec<Delegation>,
     /// Changed entry VMs.
     pub entry_vms: Vec<EntryVm>,
+    /// Entry VMs that were removed.
+    pub removed_vms: Vec<ids::VmName>,
+    /// Whether `entry_vms` are all there are, as removals before may have been dropped.
+    pub all_vms: bool,
     /// Changed drains.
     pub drains: Vec<Drain>,
 }
@@ -158,10 +171,7 @@
     pub fn apply(&mut self, index: ids::LogIndex, change: Change) -> Applied {
         match change {
             Change::UpsertEntryVm { entry_vm } => self.upsert_entry_vm(index, entry_vm),
-            Change::RemoveEntryVm { vm } => match self.entry_vms.remove(&vm) {
-                Some(_) => Applied::Done,
-                None => Applied::Stale,
-            },
+            Change::RemoveEntryVm { vm } => self.remove_entry_vm(index, vm),
             Change::Initialize { service, shares } => self.initialize(index, &service, shares),
             Change::ReplacePrimary {
                 service,
@@ -186,14 +196,36 @@
         }
     }
 
+    fn remove_entry_vm(&mut self, index: ids::LogIndex, vm: ids::VmName) -> Applied {
+        if self.entry_vms.remove(&vm).is_none() {
+            return Applied::Stale;
+        }
+        self.removed.insert(vm, index);
+        if self.removed.len() > MAX_REMOVALS {
+            let oldest = self.removed.iter().min_by_key(|(_, index)| **index);
+            if let Some((vm, index)) = oldest.map(|(vm, index)| (Arc::clone(vm), *index)) {
+                self.removed.remove(&vm);
+                self.removed_before = self.removed_before.max(index);
+            }
+        }
+        Applied::Done
+    }
+
     /// Everything that changed after `known_index`.
     pub fn updates_since(&self, known_index: ids::LogIndex) -> Updates {
+        let all_vms = known_index < self.removed_before;
+        let removed = self.removed.iter().filter(|(_, i)| **i > known_index);
         Updates {
+            removed_vms: removed.map(|(vm, _)| Arc::clone(vm)).collect(),
+            all_vms,
             delegations: changed_after(
                 self.delegations.values().flat_map(BTreeMap::values),
                 known_index,
             ),
-            entry_vms: changed_after(self.entry_vms.values(), known_index),
+            entry_vms: changed_after(
+                self.entry_vms.values(),
+                if all_vms { 0 } else { known_index },
+            ),
             drains: changed_after(self.drains.values().flat_map(BTreeMap::values), known_index),
         }
     }
@@ -233,6 +265,7 @@
 
     fn upsert_entry_vm(&mut self, index: ids::LogIndex, entry_vm: EntryVm) -> Applied {
         let vm = Arc::clone(&entry_vm.vm);
+        self.removed.remove(&vm);
         self.entry_vms.insert(
             vm,
             Indexed {
--- a/src/delegate/tests/simulation.rs
+++ b/src/delegate/tests/simulation.rs
@@ -443,6 +443,8 @@
             },
             delegations: updates.delegations,
             entry_vms: updates.entry_vms,
+            removed_vms: updates.removed_vms,
+            all_vms: updates.all_vms,
             drains: updates.drains,
         }
     }
--- a/src/delegate/tests/store.rs
+++ b/src/delegate/tests/store.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use super::fixture::{SERVICE, service_params};
+use crate::delegate::messages::WatchResponse;
 use crate::delegate::store::{Applied, Change, PrimaryConfig, Store, ZoneShare};
+use crate::delegate::view::View;
 use crate::keys::{self, Span};
 
 fn config(zone: &str, primary: &str) -> PrimaryConfig {
@@ -132,6 +134,63 @@
     assert_eq!((all.delegations.len(), all.entry_vms.len()), (2, 1));
 }
 
+#[test]
+fn updates_name_the_entry_vms_that_were_removed() {
+    let mut store = Store::default();
+    let upsert = |name: &str| Change::UpsertEntryVm {
+        entry_vm: super::fixture::entry_vm(name, "a"),
+    };
+    let remove = |name: &str| Change::RemoveEntryVm { vm: name.into() };
+    store.apply(1, upsert("a1"));
+    store.apply(2, upsert("a2"));
+    let view = View::default();
+    let follow = |store: &Store, index| {
+        let updates = store.updates_since(view.index());
+        view.apply(WatchResponse {
+            index,
+            documents: vec![],
+            delegations: updates.delegations,
+            entry_vms: updates.entry_vms,
+            removed_vms: updates.removed_vms,
+            all_vms: updates.all_vms,
+            drains: updates.drains,
+        });
+        let names = view.entry_vms().into_iter().map(|e| e.vm.to_string());
+        names.collect::<Vec<_>>()
+    };
+    assert_eq!(follow(&store, 2), ["a1", "a2"]);
+    store.apply(3, remove("a1"));
+    assert_eq!(follow(&store, 3), ["a2"]);
+    store.apply(4, upsert("a1"));
+    assert_eq!(follow(&store, 4), ["a1", "a2"]);
+    store.apply(5, remove("a2"));
+    let restored: Store =
+        serde_json::from_str(&serde_json::to_string(&store).unwrap()).unwrap();
+    assert_eq!(follow(&restored, 5), ["a1"], "from a snapshot");
+}
+
+#[test]
+fn a_view_that_missed_dropped_removals_gets_all_entry_vms() {
+    let mut store = Store::default();
+    store.apply(
+        1,
+        Change::UpsertEntryVm {
+            entry_vm: super::fixture::entry_vm("kept", "a"),
+        },
+    );
+    for index in 0..5000_u64 {
+        let name = format!("vm-{index}");
+        let entry_vm = super::fixture::entry_vm(&name, "a");
+        store.apply(2 + 2 * index, Change::UpsertEntryVm { entry_vm });
+        let vm = name.as_str().into();
+        store.apply(3 + 2 * index, Change::RemoveEntryVm { vm });
+    }
+    let updates = store.updates_since(2);
+    assert!(updates.all_vms);
+    assert_eq!(updates.entry_vms.len(), 1);
+    assert!(!store.updates_since(9999).all_vms);
+}
+
 #[test]
 fn snapshot_restores_the_same_state() {
     let mut store = Store::default();
--- a/src/delegate/tests/takeover.rs
+++ b/src/delegate/tests/takeover.rs
@@ -123,6 +123,8 @@
         view.apply(WatchResponse {
             index: 1,
             entry_vms: vec![voter_vm],
+            removed_vms: vec![],
+            all_vms: false,
             ..WatchResponse::default()
         });
         let initial = Takeover::new(
--- a/src/delegate/view.rs
+++ b/src/delegate/view.rs
@@ -60,6 +60,12 @@
             }
         }
         let mut entry_vms = self.entry_vms.borrow_mut();
+        if response.all_vms {
+            entry_vms.clear();
+        }
+        for vm in &response.removed_vms {
+            entry_vms.remove(vm);
+        }
         for entry_vm in response.entry_vms {
             entry_vms.insert(Arc::clone(&entry_vm.vm), entry_vm);
         }
@@ -149,6 +155,8 @@
         self.documents.is_empty()
             && self.delegations.is_empty()
             && self.entry_vms.is_empty()
+            && self.removed_vms.is_empty()
+            && !self.all_vms
             && self.drains.is_empty()
     }
 }
--- a/src/entry/proxy/tests/fixture.rs
+++ b/src/entry/proxy/tests/fixture.rs
@@ -181,6 +181,8 @@
             }],
             delegations: vec![],
             entry_vms: vec![],
+            removed_vms: vec![],
+            all_vms: false,
             drains: vec![],
         });
         let table = Table::default();
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -434,6 +434,7 @@
         let applied = propose::propose(&self.log, &command).await;
         applied.map_err(|e| match e {
             log::ProposeError::NotLeader { .. } => RequestError::NotLeader,
+            log::ProposeError::TooLarge => RequestError::Malformed(e.to_string().into()),
             log::ProposeError::OutcomeUnknown | log::ProposeError::Stopped => RequestError::Unsure,
         })
     }
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -19,6 +19,7 @@
 use super::orders::{self, ServerOrders};
 use crate::clock;
 use crate::ids;
+use crate::runtime;
 use crate::timeline::Event;
 
 /// Releases under way at one backend server; each has a connection of its own.
@@ -110,7 +111,7 @@
         if !grants.is_empty() && is_same_process && may_retry && !link.busy.replace(true) {
             let coordinator = Rc::clone(self);
             let (server, link) = (Arc::clone(server), Rc::clone(&link));
-            monoio::spawn(async move {
+            runtime::spawn_contained("grants", async move {
                 coordinator
                     .send_grants(leading_since, &server, &link, grants)
                     .await;
@@ -124,7 +125,7 @@
             }
             let coordinator = Rc::clone(self);
             let (server, link) = (Arc::clone(server), Rc::clone(&link));
-            monoio::spawn(async move {
+            runtime::spawn_contained("release", async move {
                 coordinator
                     .send_release(leading_since, &server, &link, run)
                     .await;
@@ -295,7 +296,12 @@
         self.with_fleet(|store| {
             let is_known = |i: &Incarnation| store.incarnation(i).is_some();
             self.links.borrow_mut().retain(|i, _| is_known(i));
-            self.leases(leading_since).calls_mut().retain(is_known);
+            let mut leases = self.leases(leading_since);
+            leases.calls_mut().retain(is_known);
+            leases.retain_heartbeats(|server| store.server(server).is_some());
+            self.latencies
+                .borrow_mut()
+                .retain(|server, _| store.server(server).is_some());
         });
     }
 }
--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -56,6 +56,9 @@
 /// How long unchanged heartbeats of a server without keys are answered without the leader.
 const LOCAL_RESPONSE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Forwarded heartbeats that are remembered before outdated ones are dropped.
+const MAX_FORWARDED: usize = 4096;
+
 /// Request handling of one control VM.
 pub struct Frontend {
     coordinator: Rc<Coordinator>,
@@ -154,9 +157,13 @@
             Renewal::default()
         } else {
             let renewal = self.forward(messages::HEARTBEAT, &heartbeat).await?;
-            self.forwarded
-                .borrow_mut()
-                .insert(incarnation, clock::now());
+            let now = clock::now();
+            let mut forwarded = self.forwarded.borrow_mut();
+            if forwarded.len() >= MAX_FORWARDED {
+                forwarded.retain(|_, at| now < *at + LOCAL_RESPONSE_LIMIT);
+            }
+            forwarded.insert(incarnation, now);
+            drop(forwarded);
             renewal
         };
         let owns_keys = self.coordinator.state.table.borrow().is_sharded(&service);
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -158,6 +158,14 @@
         }
     }
 
+    /// Drops the heartbeats of servers that `is_known` rejects.
+    pub fn retain_heartbeats<F>(&mut self, is_known: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.heartbeats.retain(|server, _| is_known(server));
+    }
+
     /// When the newest heartbeat of an incarnation was received, if this leader has one.
     pub fn last_heartbeat(&self, incarnation: &Incarnation) -> Option<Instant> {
         let last = self.heartbeats.get(&incarnation.server);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -463,7 +463,15 @@
         .get(header::HOST)
         .and_then(|h| h.to_str().ok());
     let host = header.or_else(|| parts.uri.authority().map(uri::Authority::as_str))?;
-    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+    Some(without_port(host))
+}
+
+/// Cuts off the port; an IPv6 address has its colons in brackets.
+pub(super) fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if !port.contains(']') => name,
+        _ => host,
+    }
 }
 
 /// Returns the declared body length of a request, in bytes.
--- a/src/gateway/tests/routing.rs
+++ b/src/gateway/tests/routing.rs
@@ -135,3 +135,17 @@
     assert_eq!(names, ["b", "c"]);
     assert_eq!(routing.entry_vm_count(), 2);
 }
+
+#[test]
+fn the_host_of_a_request_has_no_port() {
+    use crate::gateway::request::without_port;
+    for (host, expected) in [
+        ("a.example", "a.example"),
+        ("a.example:8080", "a.example"),
+        ("[::1]", "[::1]"),
+        ("[::1]:8080", "[::1]"),
+        ("10.0.0.1:80", "10.0.0.1"),
+    ] {
+        assert_eq!(without_port(host), expected);
+    }
+}
--- a/src/log/error.rs
+++ b/src/log/error.rs
@@ -90,6 +90,8 @@
         /// VM that leads, if known.
         leader: Option<ids::VmName>,
     },
+    /// The command is too large for the log; nothing was appended.
+    TooLarge,
     /// The command was appended and may still commit.
     OutcomeUnknown,
     /// The log has stopped on this VM.
@@ -101,6 +103,7 @@
         match self {
             Self::NotLeader { leader: Some(vm) } => write!(f, "{vm} leads"),
             Self::NotLeader { leader: None } => f.write_str("no leader is known"),
+            Self::TooLarge => f.write_str("the command is too large"),
             Self::OutcomeUnknown => f.write_str("it may yet commit"),
             Self::Stopped => f.write_str("the log has stopped"),
         }
--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -285,11 +285,17 @@
             // After the timeout this VM steps down all the same, without a successor.
             let _ = monoio::time::timeout(TRANSFER_TIMEOUT, transfer).await;
         }
-        if self.node.state().is_leader(term) {
+        let transferred = !self.node.state().is_leader(term);
+        if !transferred {
             self.node.state_mut().become_follower(None);
             self.node.wake_all();
         }
-        self.node.record("log.stepped_down", "asked to step down");
+        let detail = if transferred {
+            "transferred the leadership"
+        } else {
+            "no other replica took the leadership"
+        };
+        self.node.record("log.stepped_down", detail);
     }
 
     async fn transfer_leadership(&self, term: ids::LogTerm, target: &Replica) {
--- a/src/log/node.rs
+++ b/src/log/node.rs
@@ -19,6 +19,9 @@
 use crate::timeline::{Event, Journal};
 
 /// Longest time that a task waits to be woken.
+/// Largest command; base64 of it fits into a frame between replicas.
+pub(super) const MAX_COMMAND_BYTES: usize = 32 << 20;
+
 pub(super) const MAX_WAIT: Duration = Duration::from_millis(50);
 
 /// This VM's replica of the log.
@@ -336,6 +339,9 @@
 
     /// Appends a command as leader; returns its output once it has been applied.
     pub(super) async fn propose(&self, payload: Vec<u8>) -> Result<Vec<u8>, ProposeError> {
+        if payload.len() > MAX_COMMAND_BYTES {
+            return Err(ProposeError::TooLarge);
+        }
         let receiver = {
             let mut state = self.state_mut();
             let term = state.term();
--- a/src/rpc/frame.rs
+++ b/src/rpc/frame.rs
@@ -14,6 +14,9 @@
 /// Largest frame that is accepted on reading.
 pub const MAX_FRAME_BYTES: usize = 64 << 20;
 
+/// Bytes of a frame that are read at a time.
+const READ_PART_BYTES: usize = 256 << 10;
+
 /// Size of the big-endian length before each frame.
 const LENGTH_PREFIX_BYTES: usize = 4;
 
@@ -55,7 +58,7 @@
 ) -> Result<Vec<u8>, serde_json::Error> {
     let params = serde_json::value::to_raw_value(envelope)?;
     let request = Request::borrowed(method, Some(&params), Id::Number(id));
-    Ok(prefix_with_length(&serde_json::to_vec(&request)?))
+    prefix_with_length(&serde_json::to_vec(&request)?)
 }
 
 /// Encodes a response as a frame.
@@ -72,7 +75,7 @@
         )),
     };
     let response = Response::new(payload, Id::Number(id));
-    Ok(prefix_with_length(&serde_json::to_vec(&response)?))
+    prefix_with_length(&serde_json::to_vec(&response)?)
 }
 
 /// Decodes a call; `None` if the frame holds something else.
@@ -120,15 +123,25 @@
     if length > MAX_FRAME_BYTES {
         return Err(io::ErrorKind::InvalidData.into());
     }
-    let (result, body) = stream.read_exact(vec![0u8; length]).await;
-    result?;
+    let mut body = Vec::new();
+    while body.len() < length {
+        // Memory is taken as bytes arrive, not for what a length promises.
+        let part = vec![0u8; (length - body.len()).min(READ_PART_BYTES)];
+        let (result, part) = stream.read_exact(part).await;
+        result?;
+        body.extend_from_slice(&part);
+    }
     Ok(body)
 }
 
-fn prefix_with_length(body: &[u8]) -> Vec<u8> {
-    let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
+/// Adds the length; an error for a body that no reader would accept.
+fn prefix_with_length(body: &[u8]) -> Result<Vec<u8>, serde_json::Error> {
+    let length = u32::try_from(body.len()).ok();
+    let Some(length) = length.filter(|_| body.len() <= MAX_FRAME_BYTES) else {
+        return Err(serde::ser::Error::custom("the message is too large"));
+    };
     let mut frame = Vec::with_capacity(LENGTH_PREFIX_BYTES + body.len());
     frame.extend_from_slice(&length.to_be_bytes());
     frame.extend_from_slice(body);
-    frame
+    Ok(frame)
 }
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -12,6 +12,7 @@
 
 use super::error::{self, Fault};
 use super::frame::{self, Call, Envelope};
+use crate::runtime;
 use crate::timeline::Journal;
 
 /// Encoded result of a call, or its fault.
@@ -63,7 +64,7 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        monoio::spawn(serve_connection(
+        runtime::spawn_contained("rpc connection", serve_connection(
             stream,
             journal.clone(),
             Rc::clone(&handler),
@@ -92,13 +93,17 @@
         let call = handler(method, envelope.body);
         let outgoing = outgoing.clone();
         let journal = journal.clone();
-        monoio::spawn(async move {
+        runtime::spawn_contained("rpc call", async move {
             let into_envelope = |body| Envelope {
                 timestamp: journal.next_timestamp(),
                 body,
             };
             let response = call.await.map(into_envelope);
-            if let Ok(frame) = frame::encode_response(id, &response) {
+            let frame = frame::encode_response(id, &response).or_else(|reason| {
+                let fault = Fault::new(error::REFUSED, &reason.to_string());
+                frame::encode_response(id, &Err(fault))
+            });
+            if let Ok(frame) = frame {
                 let _ = outgoing.send(frame);
             }
         });
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -1,9 +1,17 @@
-//! Start of the monoio runtime.
+//! Start of the monoio runtime and of tasks that may fail alone.
 //!
 //! The runtime uses the legacy (epoll) driver, as `io_uring` is not used on the target machines.
 
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use monoio::{LegacyDriver, RuntimeBuilder};
 
+use crate::web::guard;
+
+/// Tasks of this process that ended with a panic.
+static PANICKED_TASKS: AtomicU64 = AtomicU64::new(0);
+
 /// Runs `work` to completion on a new runtime of this thread.
 ///
 /// # Panics
@@ -19,3 +27,27 @@
         .expect("the operating system provides an event queue");
     runtime.block_on(work)
 }
+
+/// Starts a task for one connection or one call; a panic ends the task and not the process.
+///
+/// The panic is logged and counted. What the task owned is dropped, so its connection closes and the
+/// other end learns that there is no response.
+pub fn spawn_contained<F>(name: &'static str, task: F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    monoio::spawn(async move {
+        if guard::catch_panic(pin!(task)).await.is_none() {
+            let count = PANICKED_TASKS.fetch_add(1, Ordering::Relaxed) + 1;
+            log::error!("event=runtime.panic task={name} count={count}");
+        }
+    });
+}
+
+/// Number of tasks of this process that ended with a panic.
+pub fn panicked_tasks() -> u64 {
+    PANICKED_TASKS.load(Ordering::Relaxed)
+}
+
+#[cfg(test)]
+mod tests;
