--- a/src/fleet/courier.rs
+++ b/src/fleet/courier.rs
@@ -215,7 +215,8 @@
 async fn read_response(connection: &mut HttpConnection) -> Option<(response::Parts, Bytes)> {
     let ResponseHead { parts, mut body } = loop {
         match connection.decode_response_head(HEAD_LIMITS, false) {
-            Ok(Some(head)) if head.parts.status.is_informational() => continue,
+            // Nobody asked for an interim response.
+            Ok(Some(head)) if head.parts.status.is_informational() => return None,
             Ok(Some(head)) => break head,
             Ok(None) => {}
             Err(_) => return None,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -38,6 +38,9 @@
     body_bytes: u64::MAX >> 1,
 };
 
+/// Interim responses that are skipped before a response.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// Responses to other requests that are skipped on one connection.
 const MAX_MISMATCHED_RESPONSES: u32 = 4;
 
@@ -343,9 +346,16 @@
     connection: &mut HttpConnection,
     attempt: &Attempt<'_>,
 ) -> Result<ResponseHead, &'static str> {
+    let mut interim = 0;
     loop {
         match connection.decode_response_head(RESPONSE_HEAD_LIMITS, attempt.head.bodiless) {
-            Ok(Some(head)) if head.parts.status.is_informational() => continue,
+            Ok(Some(head)) if head.parts.status.is_informational() => {
+                interim += 1;
+                if interim > MAX_INTERIM_RESPONSES {
+                    return Err("it sent interim responses without end");
+                }
+                continue;
+            }
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(DecodeError::Io(_)) => return Err("the connection broke"),
--- a/src/gateway/tests/mock.rs
+++ b/src/gateway/tests/mock.rs
@@ -24,6 +24,9 @@
 pub(super) enum Action {
     /// Sends these bytes; `ID` in them is replaced by the id of the request.
     Send(&'static str),
+    /// Sends these bytes again and again until the other end closes the connection, with a pause
+    /// between them.
+    Flood(&'static str, Duration),
     /// Closes the connection.
     Close,
     /// Waits until the other end closes the connection.
@@ -36,8 +39,10 @@
     pub(super) address: SocketAddr,
     /// Requests as received.
     pub(super) requests: Rc<RefCell<Vec<String>>>,
-    /// Connections closed by the other end during [`Action::Wait`].
+    /// Connections closed by the other end during [`Action::Wait`] or [`Action::Flood`].
     pub(super) disconnects: Rc<RefCell<u32>>,
+    /// Bytes sent by [`Action::Flood`].
+    pub(super) flooded: Rc<RefCell<usize>>,
 }
 
 impl MockBackend {
@@ -47,6 +52,7 @@
             address: listener.local_addr().unwrap(),
             requests: Rc::default(),
             disconnects: Rc::default(),
+            flooded: Rc::default(),
         };
         let script = Rc::new(RefCell::new(script.into_iter()));
         let shared = backend.clone();
@@ -78,6 +84,15 @@
                             return;
                         }
                     }
+                    Action::Flood(text, pause) => {
+                        let text = text.replace('\n', "\r\n");
+                        while stream.write_all(text.clone().into_bytes()).await.0.is_ok() {
+                            *self.flooded.borrow_mut() += text.len();
+                            monoio::time::sleep(pause).await;
+                        }
+                        *self.disconnects.borrow_mut() += 1;
+                        return;
+                    }
                     Action::Close => return,
                     Action::Wait => {
                         let (read, _) = stream.read(vec![0_u8; 64]).await;
--- a/src/web/connection.rs
+++ b/src/web/connection.rs
@@ -22,6 +22,9 @@
 
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
+/// Most bytes of blank lines before a request.
+const MAX_BLANK_BYTES: usize = 256;
+
 /// Longest size line of a chunk, chunk extensions included.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
@@ -33,6 +36,8 @@
     stream: TcpStream,
     buffer: BytesMut,
     received_bytes: u64,
+    /// Bytes of blank lines that were skipped before the next request.
+    blank_bytes: usize,
 }
 
 impl HttpConnection {
@@ -46,6 +51,7 @@
             stream,
             buffer: BytesMut::new(),
             received_bytes: 0,
+            blank_bytes: 0,
         }
     }
 
@@ -131,12 +137,22 @@
     ) -> Result<Option<RequestHead>, DecodeError> {
         let body = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
         let mut heads = RequestHeads::new(limits.head_bytes, body);
+        let buffered = self.buffer.len();
         match heads.decode(&mut self.buffer)? {
-            Decoded::Some((parts, payload)) => Ok(Some(RequestHead {
-                body: BodyReader::new(&payload, &parts.headers, true),
-                parts,
-            })),
-            Decoded::Insufficient | Decoded::InsufficientAtLeast(_) => Ok(None),
+            Decoded::Some((parts, payload)) => {
+                self.blank_bytes = 0;
+                Ok(Some(RequestHead {
+                    body: BodyReader::new(&payload, &parts.headers, true),
+                    parts,
+                }))
+            }
+            Decoded::Insufficient | Decoded::InsufficientAtLeast(_) => {
+                self.blank_bytes += buffered - self.buffer.len();
+                match self.blank_bytes {
+                    0..=MAX_BLANK_BYTES => Ok(None),
+                    _ => Err(DecodeError::Malformed("blank lines without a request")),
+                }
+            }
         }
     }
 
