--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -1,6 +1,6 @@
 //! The leader's coordinator: heartbeats and leases of backend servers, changes of the table.
 
-use std::cell::{RefCell, RefMut};
+use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
@@ -108,8 +108,10 @@
     rebalanced: RefCell<HashMap<ids::ServiceName, Instant>>,
     /// When the first heartbeat was received.
     first_heartbeat: RefCell<Option<Instant>>,
-    /// Starts the next pass early.
-    pub(super) pass_needed: Notify,
+    /// Wakes the next pass early.
+    pass_needed: Notify,
+    /// Whether an early pass was asked for since the last one began.
+    pass_requested: Cell<bool>,
     /// Heartbeats whose responses are delayed until keys become free.
     pub(super) delayed: RefCell<HashMap<Incarnation, Rc<Notify>>>,
     /// Smoothed relative latency of each backend server.
@@ -138,6 +140,7 @@
             first_heartbeat: RefCell::default(),
             latencies: RefCell::default(),
             pass_needed: Notify::default(),
+            pass_requested: Cell::default(),
             delayed: RefCell::default(),
         })
     }
@@ -220,7 +223,7 @@
         }
         if self.delivery(service) == Delivery::Call {
             if heartbeat.server.state != ServerState::Ready {
-                self.pass_needed.wake();
+                self.request_pass();
             }
             return Ok(Renewal::default());
         }
@@ -274,18 +277,27 @@
         };
         self.set_state(&server.incarnation, ServerState::Left)
             .await?;
-        self.pass_needed.wake();
+        self.request_pass();
         Ok(())
     }
 
+    /// Asks for a pass over the key ranges as soon as one may begin.
+    pub(super) fn request_pass(&self) {
+        self.pass_requested.set(true);
+        self.pass_needed.wake();
+    }
+
     /// Runs passes over key ranges and backend servers while this VM leads, until the log stops.
     pub async fn run(self: Rc<Self>) {
         let mut cleaned = clock::now();
         loop {
             monoio::time::sleep(MIN_PASS_INTERVAL).await;
-            self.pass_needed
-                .wait(PASS_INTERVAL.saturating_sub(MIN_PASS_INTERVAL))
-                .await;
+            if !self.pass_requested.get() {
+                self.pass_needed
+                    .wait(PASS_INTERVAL.saturating_sub(MIN_PASS_INTERVAL))
+                    .await;
+            }
+            self.pass_requested.set(false);
             if self.log.is_stopped() {
                 return;
             }
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -256,7 +256,7 @@
             leases.record_token(&server.service, released);
         }
         drop(leases);
-        self.pass_needed.wake();
+        self.request_pass();
     }
 
     /// Records in the log that an incarnation owns ranges which are free.
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -47,6 +47,8 @@
     Moving,
     /// No owner is known.
     Nobody,
+    /// No key of the service has an owner, nor is one expected.
+    NoOwners,
     /// The owner is unreachable; expected time until the key has another one.
     Resting(Duration),
     /// The owner doesn't accept requests.
@@ -84,6 +86,13 @@
                 FULL_RETRY_AFTER.max(*after),
                 "the holder has no room",
             ),
+            Attempts {
+                unavailable: Some(OwnerUnavailable::NoOwners),
+                ..
+            } => LocalResponse::unavailable(
+                UNREACHABLE_RETRY_AFTER,
+                "no key of the service has a holder",
+            ),
             _ if has_key => {
                 LocalResponse::unavailable(MOVE_RETRY_AFTER, "the key has no holder now")
             }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -389,6 +389,9 @@
                     }
                     KeyOwner::Backend(_) => OwnerUnavailable::Full,
                     KeyOwner::Moving => OwnerUnavailable::Moving,
+                    KeyOwner::Unknown if !routing.has_owners(&self.service) => {
+                        return Err(OwnerUnavailable::NoOwners);
+                    }
                     KeyOwner::Unknown => OwnerUnavailable::Nobody,
                 }
             };
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -153,6 +153,12 @@
         }
     }
 
+    /// Whether any key of a service has an owner or is about to get one.
+    pub fn has_owners(&self, service: &str) -> bool {
+        let key_ranges = self.key_ranges.get(service);
+        key_ranges.is_some_and(|r| r.iter().any(|r| r.owner.is_some() || r.moving))
+    }
+
     /// Clears the owner of a moving key range once it has released the key; an update names the
     /// next one.
     pub fn clear_owner(&mut self, service: &str, key: Key) {
