An owner that doesn't hold a key is asked again after a growing pause

Change: a range whose owner answered that it doesn't hold it is asked again after 40 to 640 ms, until an update or a response names the owner again; what can't be sent within the latency target is refused at once; a request may ask the same owner again.

--- a/benches/slopes/calls.rs
+++ b/benches/slopes/calls.rs
@@ -143,7 +143,12 @@
                 break;
             }
             let response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-            if stream.write_all(response.as_bytes().to_vec()).await.0.is_err() {
+            if stream
+                .write_all(response.as_bytes().to_vec())
+                .await
+                .0
+                .is_err()
+            {
                 break;
             }
         }
--- a/src/delegate/tests/store.rs
+++ b/src/delegate/tests/store.rs
@@ -164,8 +164,7 @@
     store.apply(4, upsert("a1"));
     assert_eq!(follow(&store, 4), ["a1", "a2"]);
     store.apply(5, remove("a2"));
-    let restored: Store =
-        serde_json::from_str(&serde_json::to_string(&store).unwrap()).unwrap();
+    let restored: Store = serde_json::from_str(&serde_json::to_string(&store).unwrap()).unwrap();
     assert_eq!(follow(&restored, 5), ["a1"], "from a snapshot");
 }
 
--- a/src/fleet/call_leases.rs
+++ b/src/fleet/call_leases.rs
@@ -119,9 +119,8 @@
         let Some(server) = self.servers.get_mut(incarnation) else {
             return;
         };
-        let is_older = |s: &SentGrant| {
-            matches!(s.expiry, Expiry::Answered(_)) && run.contains(&s.run)
-        };
+        let is_older =
+            |s: &SentGrant| matches!(s.expiry, Expiry::Answered(_)) && run.contains(&s.run);
         server.sent.retain(|s| !is_older(s));
         server.settle(run, |lease| Some(Expiry::Answered(now + lease)));
         server.failing_since = None;
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -480,14 +480,18 @@
     fn longest_lease(&self) -> Duration {
         let table = self.state.table.borrow();
         let services = table.current().into_iter().flat_map(|t| &t.services);
-        let targets = services.filter(|s| s.sharded).map(|s| table.longest_target(&s.name));
+        let targets = services
+            .filter(|s| s.sharded)
+            .map(|s| table.longest_target(&s.name));
         leases::lease_duration(targets.max().unwrap_or_default(), self.max_lease)
     }
 
     /// How the owners of keys of a service are told which keys they own.
     pub(super) fn delivery(&self, service: &str) -> Delivery {
         let table = self.state.table.borrow();
-        table.service(service).map_or_else(Delivery::default, |s| s.delivery)
+        table
+            .service(service)
+            .map_or_else(Delivery::default, |s| s.delivery)
     }
 }
 
--- a/src/fleet/courier.rs
+++ b/src/fleet/courier.rs
@@ -92,11 +92,7 @@
 
 impl Link {
     /// Sends a grant on the kept connection; `before_write` may still cancel it.
-    pub async fn send_grant<W>(
-        &self,
-        request: Request<'_>,
-        before_write: W,
-    ) -> OrderOutcome
+    pub async fn send_grant<W>(&self, request: Request<'_>, before_write: W) -> OrderOutcome
     where
         W: Fn() -> bool,
     {
@@ -112,7 +108,9 @@
             *self.idle.borrow_mut() = Some(connection);
             return OrderOutcome::Cancelled;
         }
-        let outcome = self.exchange(&mut connection, &request, GRANT_TIMEOUT).await;
+        let outcome = self
+            .exchange(&mut connection, &request, GRANT_TIMEOUT)
+            .await;
         if !matches!(outcome, OrderOutcome::Unanswered) && connection.is_idle() {
             *self.idle.borrow_mut() = Some(connection);
         }
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -62,9 +62,9 @@
             state == Some(ServerState::Ready)
         };
         by_owner.retain(|incarnation, _| is_ready(incarnation));
-        let assignments = by_owner.iter().map(|(incarnation, ranges)| {
-            self.assign(leading_since, service, incarnation, ranges)
-        });
+        let assignments = by_owner
+            .iter()
+            .map(|(incarnation, ranges)| self.assign(leading_since, service, incarnation, ranges));
         future::try_join_all(assignments).await.map(|_| ())
     }
 
@@ -160,9 +160,12 @@
                 incarnation,
                 call: (self.format.grant)(&grant, duration),
             };
-            self.leases(leading_since)
-                .calls_mut()
-                .record_sent(incarnation, run, duration, clock::now());
+            self.leases(leading_since).calls_mut().record_sent(
+                incarnation,
+                run,
+                duration,
+                clock::now(),
+            );
             let outcome = link.send_grant(request, may_send).await;
             let now = clock::now();
             let mut leases = self.leases(leading_since);
@@ -218,13 +221,7 @@
     }
 
     /// Sends a release and records that the keys are free once it is answered.
-    async fn send_release(
-        &self,
-        leading_since: Instant,
-        server: &Server,
-        link: &Link,
-        run: Run,
-    ) {
+    async fn send_release(&self, leading_since: Instant, server: &Server, link: &Link, run: Run) {
         let request = Request {
             format: &self.format,
             address: server.address,
@@ -248,9 +245,7 @@
             return;
         }
         let mut leases = self.leases(leading_since);
-        leases
-            .calls_mut()
-            .record_released(&server.incarnation, run);
+        leases.calls_mut().record_released(&server.incarnation, run);
         if let Some(token) = token {
             let released = ReleasedRange {
                 from: run.from,
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -235,8 +235,7 @@
             None if delivery == Delivery::Call => self.is_settled(range, now),
             None => now > self.predecessor_expiry(),
         };
-        let holds_none =
-            |held: &Vec<HeldRange>| !held.iter().any(|h| range.overlaps(h.from, h.to));
+        let holds_none = |held: &Vec<HeldRange>| !held.iter().any(|h| range.overlaps(h.from, h.to));
         let reported = last.is_some_and(|l| {
             l.applied_index >= next.since && l.held.as_ref().is_some_and(holds_none)
         });
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -201,14 +201,14 @@
         let mean = 1.0 / weights;
         let mut loads = self.loads();
         for _ in 0..MIN_MOVE_LIMIT.max(self.candidates.len() / SERVERS_PER_MOVE) {
-            let (Some(donor), Some(recipient)) = (most_loaded(&loads), self.least_loaded(&loads)) else {
+            let (Some(donor), Some(recipient)) = (most_loaded(&loads), self.least_loaded(&loads))
+            else {
                 return;
             };
             let load = |i: usize| loads.get(i).copied().unwrap_or(0.0);
             let excess = (load(donor) - mean) * self.weight(donor);
             let headroom = (FILL_RATIO * mean - load(recipient)) * self.weight(recipient);
-            let unbalanced =
-                load(donor) >= overload * mean || load(recipient) < underload * mean;
+            let unbalanced = load(donor) >= overload * mean || load(recipient) < underload * mean;
             if !unbalanced || headroom <= 0.0 {
                 return;
             }
--- a/src/fleet/reassign.rs
+++ b/src/fleet/reassign.rs
@@ -175,7 +175,12 @@
     }
 
     /// Wanted ranges whose present owner is proved to hold them no longer.
-    pub(super) fn free_ranges<F>(&self, leading_since: Instant, service: &str, wanted: F) -> Vec<KeyRange>
+    pub(super) fn free_ranges<F>(
+        &self,
+        leading_since: Instant,
+        service: &str,
+        wanted: F,
+    ) -> Vec<KeyRange>
     where
         F: Fn(&KeyRange) -> bool,
     {
--- a/src/fleet/tests/calls.rs
+++ b/src/fleet/tests/calls.rs
@@ -265,7 +265,11 @@
         let lost = self.chance(0.1);
         let unanswered = lost || self.chance(0.25);
         let late = unanswered && self.chance(0.8);
-        let delay = if late { ms(self.random.u64(0..12_000)) } else { ms(0) };
+        let delay = if late {
+            ms(self.random.u64(0..12_000))
+        } else {
+            ms(0)
+        };
         let call = Call {
             incarnation: incarnation.clone(),
             order,
@@ -362,8 +366,7 @@
                 (Order::Release(_), false) => {}
             }
         }
-        self.calls
-            .retain(|c| !c.is_settled || c.applied.is_some());
+        self.calls.retain(|c| !c.is_settled || c.applied.is_some());
     }
 
     fn holders(&self, sample: usize) -> usize {
@@ -383,7 +386,10 @@
 
 fn case_count() -> u64 {
     let asked = std::env::var("AGATEYOKE_CASES");
-    asked.ok().and_then(|c| c.parse().ok()).unwrap_or(CASE_COUNT)
+    asked
+        .ok()
+        .and_then(|c| c.parse().ok())
+        .unwrap_or(CASE_COUNT)
 }
 
 fn run(seed: u64) {
@@ -396,7 +402,11 @@
         model.step();
     }
     for (i, key) in SAMPLES.iter().enumerate() {
-        assert_eq!(model.holders(i), 1, "key {key} has no holder after a calm time");
+        assert_eq!(
+            model.holders(i),
+            1,
+            "key {key} has no holder after a calm time"
+        );
     }
     let before = model.grants_sent;
     let runs = {
@@ -413,7 +423,10 @@
         model.step();
     }
     let sent = usize::try_from(model.grants_sent - before).unwrap();
-    assert!(sent <= 2 * runs, "{sent} grants in a second renew {runs} runs");
+    assert!(
+        sent <= 2 * runs,
+        "{sent} grants in a second renew {runs} runs"
+    );
 }
 
 #[test]
--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -76,9 +76,18 @@
     let now = Instant::now();
     let mut leases = Leases::new(MAX_LEASE, now, 0);
     leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 5, now);
-    leases.record_grant(&incarnation("a", 1), MAX_LEASE, now + Duration::from_secs(1));
+    leases.record_grant(
+        &incarnation("a", 1),
+        MAX_LEASE,
+        now + Duration::from_secs(1),
+    );
     assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now + ALL_EXPIRED));
-    assert!(leases.is_free(&range, &store, Delivery::Heartbeat, now + Duration::from_secs(1) + ALL_EXPIRED));
+    assert!(leases.is_free(
+        &range,
+        &store,
+        Delivery::Heartbeat,
+        now + Duration::from_secs(1) + ALL_EXPIRED
+    ));
 }
 
 #[test]
--- a/src/fleet/tests/plan.rs
+++ b/src/fleet/tests/plan.rs
@@ -228,6 +228,9 @@
             apply(&mut ranges, &plan, 10 + 2 * round);
             loads.decay("s", 0.97);
         }
-        assert!(moved <= 65536 / 20, "{moved} keys moved on a calm day, seed {seed}");
+        assert!(
+            moved <= 65536 / 20,
+            "{moved} keys moved on a calm day, seed {seed}"
+        );
     }
 }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -24,8 +24,6 @@
 #[derive(Default)]
 pub(super) struct Attempts {
     pub(super) tried: Vec<Rc<Backend>>,
-    /// Backend servers that responded that they don't own the key.
-    pub(super) misdirected: Vec<Rc<Backend>>,
     /// Attempts that reached a backend server, or may have.
     pub(super) sent: u32,
     pub(super) connect_failures: u32,
@@ -45,6 +43,8 @@
 pub(super) enum OwnerUnavailable {
     /// The key is moving to another owner.
     Moving,
+    /// The owner said that it doesn't hold the key.
+    Missed,
     /// No owner is known.
     Nobody,
     /// No key of the service has an owner, nor is one expected.
@@ -82,10 +82,7 @@
             Attempts {
                 unavailable: Some(OwnerUnavailable::Overloaded(after)),
                 ..
-            } => LocalResponse::unavailable(
-                FULL_RETRY_AFTER.max(*after),
-                "the holder has no room",
-            ),
+            } => LocalResponse::unavailable(FULL_RETRY_AFTER.max(*after), "the holder has no room"),
             Attempts {
                 unavailable: Some(OwnerUnavailable::NoOwners),
                 ..
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -235,9 +235,7 @@
     /// Time until the server gets requests again after it was overloaded; zero if it does.
     pub fn overloaded_for(&self, now: Instant) -> Duration {
         let until = self.overloaded_until.get();
-        until.map_or(Duration::ZERO, |until| {
-            until.saturating_duration_since(now)
-        })
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// Records a failed connection attempt.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -213,6 +213,10 @@
                 let latency = self.relative_latency(backend, sent_at, load, failed);
                 let reported = head::reported_load(&response.headers, &self.gateway.header_names);
                 backend.record_response(latency, reported, failed);
+                if let Some(key) = self.key {
+                    let mut routing = self.gateway.routing.borrow_mut();
+                    routing.record_held(&self.service, key);
+                }
                 if !failed || at_most_once || matches!(response.body, ResponseBody::Streaming(_)) {
                     return Some(self.complete(response));
                 }
@@ -243,10 +247,10 @@
                 );
                 backend.record_response(None, None, false);
                 attempts.all_full = false;
-                attempts.misdirected.push(Rc::clone(backend));
                 if let Some(key) = self.key {
                     let mut routing = self.gateway.routing.borrow_mut();
                     routing.clear_owner(&self.service, key);
+                    routing.record_miss(&self.service, key, clock::now());
                 }
             }
             Outcome::NotSent(reason) => {
@@ -333,7 +337,7 @@
         attempts: &Attempts,
     ) -> Result<Rc<Backend>, Option<OwnerUnavailable>> {
         match self.key {
-            Some(key) => self.await_owner(key, attempts).await.map_err(Some),
+            Some(key) => self.await_owner(key).await.map_err(Some),
             None => self.await_capacity(attempts).await.ok_or(None),
         }
     }
@@ -357,28 +361,29 @@
         }
     }
 
-    async fn await_owner(
-        &self,
-        key: Key,
-        attempts: &Attempts,
-    ) -> Result<Rc<Backend>, OwnerUnavailable> {
+    async fn await_owner(&self, key: Key) -> Result<Rc<Backend>, OwnerUnavailable> {
         let wait = self
             .route
             .latency_target
             .mul_f64(MOVE_WAIT_RATIO)
             .min(MAX_MOVE_WAIT);
         let until = self.arrived_at + wait;
-        let misdirected = |b: &Rc<Backend>| attempts.misdirected.iter().any(|e| Rc::ptr_eq(e, b));
         loop {
             let now = clock::now();
             let unavailable = {
                 let routing = self.gateway.routing.borrow();
+                let missed_until = routing.missed_until(&self.service, key);
                 match routing.owner(&self.service, key) {
+                    KeyOwner::Backend(_) if missed_until.is_some_and(|at| at > until) => {
+                        return Err(OwnerUnavailable::Missed);
+                    }
+                    KeyOwner::Backend(_) if missed_until.is_some_and(|at| at > now) => {
+                        OwnerUnavailable::Missed
+                    }
                     KeyOwner::Backend(b) if b.is_backing_off(now) => {
                         attempts::await_failover(&b, routing.lease(&self.service), now, until)?
                     }
                     KeyOwner::Backend(b) if !b.is_ready() => OwnerUnavailable::NotReady,
-                    KeyOwner::Backend(b) if misdirected(&b) => OwnerUnavailable::Moving,
                     KeyOwner::Backend(b) if now + b.overloaded_for(now) > until => {
                         return Err(OwnerUnavailable::Overloaded(b.overloaded_for(now)));
                     }
@@ -401,7 +406,7 @@
             }
             self.gateway
                 .changed
-                .wait(left.min(CAPACITY_POLL_INTERVAL * 4))
+                .wait(left.min(CAPACITY_POLL_INTERVAL * 2))
                 .await;
         }
     }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::backend::Backend;
 use super::selection;
@@ -32,10 +32,27 @@
     backends: HashMap<ids::ServerName, Rc<Backend>>,
     services: HashMap<ids::ServiceName, Vec<Rc<Backend>>>,
     key_ranges: HashMap<ids::ServiceName, Vec<RangeOwner>>,
+    /// Key ranges whose owner said that it doesn't hold them, by service and first key.
+    misses: HashMap<(ids::ServiceName, Key), Miss>,
     /// Running average of each route's request time, in seconds.
     pub(super) route_secs: HashMap<table::model::RouteName, f64>,
 }
 
+/// Pause after an owner said that it doesn't hold a key; doubles with each further time.
+///
+/// An update of the owner may arrive a moment before the owner's grant.
+const MIN_MISS_PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest such pause.
+const MAX_MISS_PAUSE: Duration = Duration::from_millis(640);
+
+/// An owner that said that it doesn't hold a key range.
+#[derive(Clone, Copy, Debug)]
+struct Miss {
+    pause: Duration,
+    until: Instant,
+}
+
 /// Owner of a key.
 #[derive(Clone, Debug)]
 pub enum KeyOwner {
@@ -87,6 +104,8 @@
             self.key_ranges.clear();
         }
         for owners in updates.ranges {
+            self.misses
+                .retain(|(service, _), _| *service != owners.service);
             let key_ranges = self.key_ranges.entry(owners.service).or_default();
             overlay_ranges(key_ranges, owners.ranges);
         }
@@ -141,9 +160,7 @@
 
     /// Returns the owner of a key of a service.
     pub fn owner(&self, service: &str, key: Key) -> KeyOwner {
-        let key_ranges = self.key_ranges.get(service).map_or(&[][..], |r| r);
-        let index = key_ranges.partition_point(|r| r.to < key);
-        let key_range = key_ranges.get(index).filter(|r| r.from <= key);
+        let key_range = self.range(service, key);
         let name = key_range.and_then(|r| r.owner.as_ref());
         let backend = name.and_then(|n| self.backends.get(n));
         match (key_range, backend) {
@@ -159,6 +176,45 @@
         key_ranges.is_some_and(|r| r.iter().any(|r| r.owner.is_some() || r.moving))
     }
 
+    /// Until when the owner of a key is not asked again, as it said that it doesn't hold the key.
+    pub fn missed_until(&self, service: &ids::ServiceName, key: Key) -> Option<Instant> {
+        let range = self.range(service, key)?;
+        let miss = self.misses.get(&(Arc::clone(service), range.from))?;
+        Some(miss.until)
+    }
+
+    /// Records that the owner of a key said that it doesn't hold the key.
+    pub fn record_miss(&mut self, service: &ids::ServiceName, key: Key, now: Instant) {
+        let Some(from) = self.range(service, key).map(|r| r.from) else {
+            return;
+        };
+        let miss = self.misses.entry((Arc::clone(service), from));
+        let miss = miss.or_insert(Miss {
+            pause: MIN_MISS_PAUSE / 2,
+            until: now,
+        });
+        if now >= miss.until {
+            miss.pause = (miss.pause * 2).min(MAX_MISS_PAUSE);
+            miss.until = now + miss.pause;
+        }
+    }
+
+    /// Records that the owner of a key holds it.
+    pub fn record_held(&mut self, service: &ids::ServiceName, key: Key) {
+        if self.misses.is_empty() {
+            return;
+        }
+        if let Some(from) = self.range(service, key).map(|r| r.from) {
+            self.misses.remove(&(Arc::clone(service), from));
+        }
+    }
+
+    fn range(&self, service: &str, key: Key) -> Option<&RangeOwner> {
+        let key_ranges = self.key_ranges.get(service)?;
+        let index = key_ranges.partition_point(|r| r.to < key);
+        key_ranges.get(index).filter(|r| r.from <= key)
+    }
+
     /// Clears the owner of a moving key range once it has released the key; an update names the
     /// next one.
     pub fn clear_owner(&mut self, service: &str, key: Key) {
--- a/src/gateway/tests/copies.rs
+++ b/src/gateway/tests/copies.rs
@@ -52,7 +52,10 @@
 /// Sends the first request and three more; each of these must get its own answer.
 async fn check(fixture: &Fixture, method: &str, case: &str) {
     let first = first_response(fixture, &request(method, 7)).await;
-    assert!([200, 204, 304].contains(&status_code(&first)), "{case}: {first}");
+    assert!(
+        [200, 204, 304].contains(&status_code(&first)),
+        "{case}: {first}"
+    );
     for id in 8..11 {
         monoio::time::sleep(Duration::from_millis(30)).await;
         let response = fixture.request(&request("GET", id)).await;
--- a/src/gateway/tests/endless.rs
+++ b/src/gateway/tests/endless.rs
@@ -98,7 +98,10 @@
             let backend = MockBackend::start(vec![vec![Action::Send(answer), flood], vec![OK]]);
             let fixture = Fixture::new(&[&backend]);
             let response = fixture.request(ONCE).await;
-            assert!([200, 204, 304].contains(&status_code(&response)), "{response}");
+            assert!(
+                [200, 204, 304].contains(&status_code(&response)),
+                "{response}"
+            );
             assert!(!response.contains("fake"), "{response}");
             let next = fixture.request(SAFE).await;
             assert!(next.ends_with("ok"), "{answer:?}: {next}");
@@ -112,8 +115,14 @@
 fn a_caller_that_never_ends_its_request_is_cut_off() {
     let requests = [
         ("", "\r\n"),
-        ("GET /safe/1 HTTP/1.1\r\nhost: h\r\n", "x-filler: 0123456789\r\n"),
-        ("GET /safe/1 HTTP/1.1\r\nhost: h\r\nx-filler: ", "0123456789"),
+        (
+            "GET /safe/1 HTTP/1.1\r\nhost: h\r\n",
+            "x-filler: 0123456789\r\n",
+        ),
+        (
+            "GET /safe/1 HTTP/1.1\r\nhost: h\r\nx-filler: ",
+            "0123456789",
+        ),
         (
             "POST /once/1 HTTP/1.1\r\nhost: h\r\nx-request: 1\r\ntransfer-encoding: chunked\r\n\r\n1;x=",
             "yyyyyyyyyy",
--- a/src/gateway/tests/routing.rs
+++ b/src/gateway/tests/routing.rs
@@ -149,3 +149,52 @@
         assert_eq!(without_port(host), expected);
     }
 }
+
+#[test]
+fn an_owner_that_does_not_hold_a_key_is_asked_again_after_a_growing_pause() {
+    use crate::fleet::updates::{RangeOwner, ServiceRanges, Updates};
+    use crate::gateway::routing::RoutingState;
+    use std::time::{Duration, Instant};
+    let service: crate::ids::ServiceName = "owned".into();
+    let range = |from, to| RangeOwner {
+        from,
+        to,
+        owner: Some("a".into()),
+        moving: false,
+    };
+    let update = |index| Updates {
+        index,
+        ranges: vec![ServiceRanges {
+            service: "owned".into(),
+            ranges: vec![range(0, 99), range(100, u16::MAX)],
+        }],
+        ..Updates::default()
+    };
+    let mut routing = RoutingState::default();
+    routing.apply(update(1));
+    let mut now = Instant::now();
+    let mut pauses = Vec::new();
+    for _ in 0..8 {
+        routing.record_miss(&service, 50, now);
+        let until = routing.missed_until(&service, 0).unwrap();
+        routing.record_miss(&service, 51, now + Duration::from_millis(1));
+        assert_eq!(
+            routing.missed_until(&service, 99),
+            Some(until),
+            "one pause at a time"
+        );
+        pauses.push((until - now).as_millis());
+        now = until;
+    }
+    assert_eq!(pauses, [40, 80, 160, 320, 640, 640, 640, 640]);
+    assert_eq!(routing.missed_until(&service, 100), None, "another range");
+    routing.record_held(&service, 7);
+    assert_eq!(routing.missed_until(&service, 50), None, "it was served");
+    routing.record_miss(&service, 50, now);
+    routing.apply(update(2));
+    assert_eq!(
+        routing.missed_until(&service, 50),
+        None,
+        "an update names an owner"
+    );
+}
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -64,11 +64,10 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        runtime::spawn_contained("rpc connection", serve_connection(
-            stream,
-            journal.clone(),
-            Rc::clone(&handler),
-        ));
+        runtime::spawn_contained(
+            "rpc connection",
+            serve_connection(stream, journal.clone(), Rc::clone(&handler)),
+        );
     }
 }
 
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -17,6 +17,8 @@
 
 pub use change::{Body, Change, Patch, Update};
 pub use lookup::Lookup;
-pub use model::{Delivery, Destination, Idempotency, Limits, Route, Service, Table, WeightedService};
+pub use model::{
+    Delivery, Destination, Idempotency, Limits, Route, Service, Table, WeightedService,
+};
 pub use store::{Outcome, Store};
 pub use validate::ValidationError;
