--- a/benches/slopes/calls.rs
+++ b/benches/slopes/calls.rs
@@ -71,10 +71,11 @@
         calls.record_answered(incarnation, *run, now);
     }
     let due_us = mean_us(|| orders::due(&map, &calls, |_| true, now).len());
-    let mut next = 0;
+    let mut next = runs.iter().cycle();
     let record_us = mean_us(|| {
-        let (incarnation, run) = &runs[next % runs.len()];
-        next += 1;
+        let Some((incarnation, run)) = next.next() else {
+            return;
+        };
         calls.record_sent(incarnation, *run, LEASE, now);
         calls.record_answered(incarnation, *run, now);
     });
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -179,11 +179,7 @@
                     calls.record_refused(incarnation, run);
                     continue;
                 }
-                OrderOutcome::NotSent => {
-                    calls.record_refused(incarnation, run);
-                    calls.record_failure(incarnation, now);
-                }
-                OrderOutcome::Refused(_) => {
+                OrderOutcome::NotSent | OrderOutcome::Refused(_) => {
                     calls.record_refused(incarnation, run);
                     calls.record_failure(incarnation, now);
                 }
--- a/src/fleet/orders.rs
+++ b/src/fleet/orders.rs
@@ -51,7 +51,7 @@
                 && next.token == range.token
                 && (next.next.is_some() && is_settled(next)) == to_release
         };
-        while let Some(next) = ranges.next_if(&continues) {
+        while let Some(next) = ranges.next_if(continues) {
             run.to = next.to;
         }
         if to_release && !calls.is_released(owner, &run) && !calls.is_granting(owner, &run) {
--- a/src/gateway/tests/endless.rs
+++ b/src/gateway/tests/endless.rs
@@ -1,5 +1,6 @@
 //! Bytes without end that are no message, from backend servers and from callers.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
@@ -54,7 +55,7 @@
             let case = format!("{before:?} {endless:?}");
             assert_eq!(status_code(&response), 502, "{case}: {response}");
             assert!(begun.elapsed() < Duration::from_millis(1400), "{case}");
-            let disconnects = backend.disconnects.clone();
+            let disconnects = Rc::clone(&backend.disconnects);
             wait_until(|| *disconnects.borrow() == 1).await;
             let flooded = *backend.flooded.borrow();
             assert!(flooded < MAX_FLOODED_BYTES, "{case}: {flooded}");
@@ -78,7 +79,7 @@
             let case = format!("{before:?} {endless:?}: {response}");
             assert!([502, 504].contains(&status_code(&response)), "{case}");
             assert!(begun.elapsed() < Duration::from_millis(1500), "{case}");
-            let disconnects = backend.disconnects.clone();
+            let disconnects = Rc::clone(&backend.disconnects);
             wait_until(|| *disconnects.borrow() == 1).await;
         });
     }
@@ -105,7 +106,7 @@
             assert!(!response.contains("fake"), "{response}");
             let next = fixture.request(SAFE).await;
             assert!(next.ends_with("ok"), "{answer:?}: {next}");
-            let disconnects = backend.disconnects.clone();
+            let disconnects = Rc::clone(&backend.disconnects);
             wait_until(|| *disconnects.borrow() == 1).await;
         });
     }
--- a/src/runtime/tests.rs
+++ b/src/runtime/tests.rs
@@ -10,8 +10,7 @@
     let survived = run(async {
         let done = Rc::new(Cell::new(false));
         spawn_contained("fails", async {
-            let nothing: Option<u8> = None;
-            let _ = nothing.unwrap();
+            panic!("a task that fails");
         });
         let other = Rc::clone(&done);
         spawn_contained("works", async move {
