A request waits for its key's owner before a retry, also after its latency target

A request whose wait was over took that for an overloaded owner, also before a retry, although the owner had room. Change: only a pause that is not over counts; a retry waits up to 200 ms for its owner. Seen: the new test failed first (502 in place of the retry's 200).

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -32,6 +32,10 @@
 /// Longest wait for a key's owner: the usual upper bound of a move.
 const MAX_MOVE_WAIT: Duration = Duration::from_millis(1200);
 
+/// Wait for a key's owner before a retry, also after the latency target: a late response is worth
+/// more than none.
+const RETRY_OWNER_WAIT: Duration = Duration::from_millis(200);
+
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Suggested wait before a retry at another VM when this one shuts down.
@@ -337,7 +341,7 @@
         attempts: &Attempts,
     ) -> Result<Rc<Backend>, Option<OwnerUnavailable>> {
         match self.key {
-            Some(key) => self.await_owner(key).await.map_err(Some),
+            Some(key) => self.await_owner(key, attempts).await.map_err(Some),
             None => self.await_capacity(attempts).await.ok_or(None),
         }
     }
@@ -361,20 +365,27 @@
         }
     }
 
-    async fn await_owner(&self, key: Key) -> Result<Rc<Backend>, OwnerUnavailable> {
+    async fn await_owner(
+        &self,
+        key: Key,
+        attempts: &Attempts,
+    ) -> Result<Rc<Backend>, OwnerUnavailable> {
         let wait = self
             .route
             .latency_target
             .mul_f64(MOVE_WAIT_RATIO)
             .min(MAX_MOVE_WAIT);
-        let until = self.arrived_at + wait;
+        let until = match attempts.sent {
+            0 => self.arrived_at + wait,
+            _ => (self.arrived_at + wait).max(clock::now() + RETRY_OWNER_WAIT),
+        };
         loop {
             let now = clock::now();
             let unavailable = {
                 let routing = self.gateway.routing.borrow();
                 let missed_until = routing.missed_until(&self.service, key);
                 match routing.owner(&self.service, key) {
-                    KeyOwner::Backend(_) if missed_until.is_some_and(|at| at > until) => {
+                    KeyOwner::Backend(_) if missed_until.is_some_and(|at| at > now.max(until)) => {
                         return Err(OwnerUnavailable::Missed);
                     }
                     KeyOwner::Backend(_) if missed_until.is_some_and(|at| at > now) => {
@@ -384,7 +395,10 @@
                         attempts::await_failover(&b, routing.lease(&self.service), now, until)?
                     }
                     KeyOwner::Backend(b) if !b.is_ready() => OwnerUnavailable::NotReady,
-                    KeyOwner::Backend(b) if now + b.overloaded_for(now) > until => {
+                    KeyOwner::Backend(b)
+                        if !b.overloaded_for(now).is_zero()
+                            && now + b.overloaded_for(now) > until =>
+                    {
                         return Err(OwnerUnavailable::Overloaded(b.overloaded_for(now)));
                     }
                     KeyOwner::Backend(b)
--- a/src/gateway/tests/requests.rs
+++ b/src/gateway/tests/requests.rs
@@ -306,3 +306,20 @@
         }
     });
 }
+
+#[test]
+fn a_keyed_request_is_sent_again_after_its_latency_target() {
+    // The target of the route is 500 ms; a server with capacity is asked all the same.
+    let late = vec![Action::Pause(Duration::from_millis(700)), Action::Close];
+    let (status, sent, _) = outcome(KEYED, vec![vec![OK], late.clone(), vec![OK]]);
+    assert_eq!((status, sent), (200, 1));
+    runtime::run(async move {
+        let mut script = vec![late];
+        script.extend((0..30).map(|_| vec![OK]));
+        let backend = MockBackend::start(script);
+        let fixture = Fixture::new(&[&backend]);
+        let first = fixture.request(KEYED).await;
+        assert_eq!(status_code(&first), 200, "{first}");
+        assert_eq!(backend.requests.borrow().len(), 2);
+    });
+}
