--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -2,15 +2,17 @@
 //!
 //! The runtime uses the legacy (epoll) driver, as `io_uring` is not used on the target machines.
 
+use std::cell::Cell;
 use std::pin::pin;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use monoio::{LegacyDriver, RuntimeBuilder};
 
 use crate::web::guard;
 
-/// Tasks of this process that ended with a panic.
-static PANICKED_TASKS: AtomicU64 = AtomicU64::new(0);
+thread_local! {
+    /// Tasks of this thread that ended with a panic; a daemon runs all its tasks in one thread.
+    static PANICKED_TASKS: Cell<u64> = const { Cell::new(0) };
+}
 
 /// Runs `work` to completion on a new runtime of this thread.
 ///
@@ -38,15 +40,16 @@
 {
     monoio::spawn(async move {
         if guard::catch_panic(pin!(task)).await.is_none() {
-            let count = PANICKED_TASKS.fetch_add(1, Ordering::Relaxed) + 1;
+            let count = PANICKED_TASKS.get() + 1;
+            PANICKED_TASKS.set(count);
             log::error!("event=runtime.panic task={name} count={count}");
         }
     });
 }
 
-/// Number of tasks of this process that ended with a panic.
+/// Number of tasks of this thread that ended with a panic.
 pub fn panicked_tasks() -> u64 {
-    PANICKED_TASKS.load(Ordering::Relaxed)
+    PANICKED_TASKS.get()
 }
 
 #[cfg(test)]
--- a/src/runtime/tests.rs
+++ b/src/runtime/tests.rs
@@ -17,7 +17,13 @@
             monoio::time::sleep(Duration::from_millis(5)).await;
             other.set(true);
         });
-        monoio::time::sleep(Duration::from_millis(50)).await;
+        // Writing the backtrace of the panic may take long.
+        for _ in 0..1000 {
+            if done.get() {
+                break;
+            }
+            monoio::time::sleep(Duration::from_millis(5)).await;
+        }
         done.get()
     });
     assert!(survived);
