Names: grant client and due calls in place of courier and orders

The two kinds of calls are plain tasks again: a panic there would leave a grant under way for ever, so it ends the process, and another leader takes over.

--- a/benches/slopes/calls.rs
+++ b/benches/slopes/calls.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use agateyoke::fleet::call_leases::{CallLeases, Run};
-use agateyoke::fleet::courier::{CallFormat, Link, OrderCall, Request};
+use agateyoke::fleet::due_calls;
+use agateyoke::fleet::grant_client::{CallBody, CallFormat, GrantClient, Request};
 use agateyoke::fleet::messages::GrantedRange;
-use agateyoke::fleet::orders;
 use agateyoke::fleet::ranges::{AssignedRange, Move, RangeMap};
 use agateyoke::fleet::{Incarnation, Key};
 use agateyoke::runtime;
@@ -70,7 +70,7 @@
         calls.record_sent(incarnation, *run, LEASE, now);
         calls.record_answered(incarnation, *run, now);
     }
-    let due_us = mean_us(|| orders::due(&map, &calls, |_| true, now).len());
+    let due_us = mean_us(|| due_calls::due(&map, &calls, |_| true, now).len());
     let mut next = runs.iter().cycle();
     let record_us = mean_us(|| {
         let Some((incarnation, run)) = next.next() else {
@@ -94,7 +94,7 @@
     };
     monoio::spawn(answer_calls(listener));
     let format = CallFormat {
-        grant: |range, duration| OrderCall {
+        grant: |range, duration| CallBody {
             path: "/grant",
             body: json!({
                 "from": range.from, "to": range.to, "fence": range.fence,
@@ -103,23 +103,23 @@
             .to_string()
             .into_bytes(),
         },
-        release: |_| OrderCall {
+        release: |_| CallBody {
             path: "/release",
             body: Vec::new(),
         },
         expected_server: HeaderName::from_static("x-expected"),
         token: HeaderName::from_static("x-token"),
     };
-    let link = Link::default();
+    let client = GrantClient::default();
     let started = Instant::now();
     for _ in 0..CALL_COUNT {
-        send(&link, &format, address).await;
+        send(&client, &format, address).await;
     }
     let call_us = started.elapsed().as_secs_f64() * 1e6 / f64::from(CALL_COUNT);
     print_line(json!({ "part": "calls", "call_us": super::round(call_us) }));
 }
 
-async fn send(link: &Link, format: &CallFormat, address: SocketAddr) {
+async fn send(client: &GrantClient, format: &CallFormat, address: SocketAddr) {
     let range = GrantedRange {
         from: 4096,
         to: 8191,
@@ -132,7 +132,7 @@
         incarnation: &incarnation(1),
         call: (format.grant)(&range, LEASE),
     };
-    link.send_grant(request, || true).await;
+    client.send_grant(request, || true).await;
 }
 
 /// Answers each block of bytes, which is a whole call here.
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::courier::CallFormat;
-use super::delivery::Links;
+use super::delivery::Clients;
+use super::grant_client::CallFormat;
 use super::leases::{self, Leases};
 use super::load::LoadCounts;
 use super::messages::{Heartbeat, Leave, Observations, Renewal};
@@ -101,7 +101,7 @@
     /// How calls to backend servers are written.
     pub(super) format: CallFormat,
     /// Connections for calls to backend servers.
-    pub(super) links: RefCell<Links>,
+    pub(super) clients: RefCell<Clients>,
     leases: RefCell<Option<Leases>>,
     pub(super) loads: RefCell<LoadCounts>,
     /// When each service was last rebalanced.
@@ -129,7 +129,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             format,
-            links: RefCell::default(),
+            clients: RefCell::default(),
             log,
             state,
             journal,
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -13,8 +13,8 @@
 use http::{Request, Response};
 
 use super::coordinator::Coordinator;
-use super::courier::CallFormat;
 use super::frontend::Frontend;
+use super::grant_client::CallFormat;
 use super::model::{Vm, VmRole};
 use crate::control::state::State;
 use crate::log;
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -2,7 +2,7 @@
 //!
 //! For a service whose keys are delivered by heartbeats, the response to a heartbeat
 //! carries the lease. For one whose keys are delivered by calls, each pass over the key
-//! ranges assigns what is free, computes the [`orders`] that are due, and sends them.
+//! ranges assigns what is free, computes the [calls that are due](due_calls), and sends them.
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -13,13 +13,12 @@
 
 use super::call_leases::Run;
 use super::coordinator::{Coordinator, RequestError};
-use super::courier::{Link, OrderOutcome, Request};
+use super::due_calls::{self, DueCalls};
+use super::grant_client::{CallOutcome, GrantClient, Request};
 use super::messages::{GrantedRange, ReleasedRange};
 use super::model::{Incarnation, KeyRange, Server, ServerState};
-use super::orders::{self, ServerOrders};
 use crate::clock;
 use crate::ids;
-use crate::runtime;
 use crate::timeline::Event;
 
 /// Releases under way at one backend server; each has a connection of its own.
@@ -39,8 +38,8 @@
         if self.log.leading_since() != Some(leading_since) {
             return Err(RequestError::NotLeader);
         }
-        for (server, orders) in self.due_orders(leading_since, service) {
-            self.send_orders(leading_since, &server, orders);
+        for (server, calls) in self.due_calls_by_server(leading_since, service) {
+            self.send_calls(leading_since, &server, calls);
         }
         Ok(())
     }
@@ -69,11 +68,11 @@
     }
 
     /// Calls that are due, by backend server.
-    fn due_orders(
+    fn due_calls_by_server(
         &self,
         leading_since: Instant,
         service: &ids::ServiceName,
-    ) -> Vec<(Arc<Server>, ServerOrders)> {
+    ) -> Vec<(Arc<Server>, DueCalls)> {
         let now = clock::now();
         let leases = self.leases(leading_since);
         self.with_fleet(|store| {
@@ -81,55 +80,50 @@
                 return Vec::new();
             };
             let is_settled = |r: &KeyRange| leases.is_settled(r, now);
-            let orders = orders::due(ranges, leases.calls(), is_settled, now);
-            let known = orders.into_iter().filter_map(|(incarnation, orders)| {
+            let calls = due_calls::due(ranges, leases.calls(), is_settled, now);
+            let known = calls.into_iter().filter_map(|(incarnation, calls)| {
                 let server = store.incarnation(&incarnation)?;
-                Some((Arc::clone(server), orders))
+                Some((Arc::clone(server), calls))
             });
             known.collect()
         })
     }
 
     /// Starts the calls to one backend server, unless calls of that kind are under way.
-    fn send_orders(
-        self: &Rc<Self>,
-        leading_since: Instant,
-        server: &Arc<Server>,
-        orders: ServerOrders,
-    ) {
-        let link = {
-            let mut links = self.links.borrow_mut();
-            Rc::clone(links.entry(server.incarnation.clone()).or_default())
+    fn send_calls(self: &Rc<Self>, leading_since: Instant, server: &Arc<Server>, calls: DueCalls) {
+        let client = {
+            let mut clients = self.clients.borrow_mut();
+            Rc::clone(clients.entry(server.incarnation.clone()).or_default())
         };
         let now = clock::now();
         let heard = self
             .leases(leading_since)
             .last_heartbeat(&server.incarnation);
-        let is_same_process = link.closed_at.get().is_none_or(|at| heard > Some(at));
-        let may_retry = link.retry_at.get().is_none_or(|at| now >= at);
-        let ServerOrders { grants, releases } = orders;
-        if !grants.is_empty() && is_same_process && may_retry && !link.busy.replace(true) {
+        let is_same_process = client.closed_at.get().is_none_or(|at| heard > Some(at));
+        let may_retry = client.retry_at.get().is_none_or(|at| now >= at);
+        let DueCalls { grants, releases } = calls;
+        if !grants.is_empty() && is_same_process && may_retry && !client.busy.replace(true) {
             let coordinator = Rc::clone(self);
-            let (server, link) = (Arc::clone(server), Rc::clone(&link));
-            runtime::spawn_contained("grants", async move {
+            let (server, client) = (Arc::clone(server), Rc::clone(&client));
+            monoio::spawn(async move {
                 coordinator
-                    .send_grants(leading_since, &server, &link, grants)
+                    .send_grants(leading_since, &server, &client, grants)
                     .await;
-                link.busy.set(false);
+                client.busy.set(false);
             });
         }
         for run in releases {
-            let mut releasing = link.releasing.borrow_mut();
+            let mut releasing = client.releasing.borrow_mut();
             if releasing.len() >= MAX_RELEASES || !releasing.insert(run) {
                 continue;
             }
             let coordinator = Rc::clone(self);
-            let (server, link) = (Arc::clone(server), Rc::clone(&link));
-            runtime::spawn_contained("release", async move {
+            let (server, client) = (Arc::clone(server), Rc::clone(&client));
+            monoio::spawn(async move {
                 coordinator
-                    .send_release(leading_since, &server, &link, run)
+                    .send_release(leading_since, &server, &client, run)
                     .await;
-                link.releasing.borrow_mut().remove(&run);
+                client.releasing.borrow_mut().remove(&run);
             });
         }
     }
@@ -139,7 +133,7 @@
         &self,
         leading_since: Instant,
         server: &Server,
-        link: &Link,
+        client: &GrantClient,
         grants: Vec<GrantedRange>,
     ) {
         let incarnation = &server.incarnation;
@@ -166,26 +160,26 @@
                 duration,
                 clock::now(),
             );
-            let outcome = link.send_grant(request, may_send).await;
+            let outcome = client.send_grant(request, may_send).await;
             let now = clock::now();
             let mut leases = self.leases(leading_since);
             let calls = leases.calls_mut();
             match outcome {
-                OrderOutcome::Done(_) => {
+                CallOutcome::Done(_) => {
                     calls.record_answered(incarnation, run, now);
                     continue;
                 }
-                OrderOutcome::Cancelled => {
+                CallOutcome::Cancelled => {
                     calls.record_refused(incarnation, run);
                     continue;
                 }
-                OrderOutcome::NotSent | OrderOutcome::Refused(_) => {
+                CallOutcome::NotSent | CallOutcome::Refused(_) => {
                     calls.record_refused(incarnation, run);
                     calls.record_failure(incarnation, now);
                 }
-                OrderOutcome::Unanswered => calls.record_unanswered(incarnation, run, now),
+                CallOutcome::Unanswered => calls.record_unanswered(incarnation, run, now),
             }
-            link.retry_at.set(Some(now + RETRY_PAUSE));
+            client.retry_at.set(Some(now + RETRY_PAUSE));
             log::info!(
                 "event=fleet.grant_failed server={:?} from={} to={} fence={} outcome={outcome:?}",
                 incarnation.server,
@@ -217,7 +211,13 @@
     }
 
     /// Sends a release and records that the keys are free once it is answered.
-    async fn send_release(&self, leading_since: Instant, server: &Server, link: &Link, run: Run) {
+    async fn send_release(
+        &self,
+        leading_since: Instant,
+        server: &Server,
+        client: &GrantClient,
+        run: Run,
+    ) {
         let request = Request {
             format: &self.format,
             address: server.address,
@@ -225,8 +225,8 @@
             call: (self.format.release)(&run),
         };
         let may_send = || self.log.leading_since() == Some(leading_since);
-        let outcome = link.send_release(request, may_send).await;
-        let OrderOutcome::Done(token) = outcome else {
+        let outcome = client.send_release(request, may_send).await;
+        let CallOutcome::Done(token) = outcome else {
             log::info!(
                 "event=fleet.release_failed server={:?} from={} to={} fence={} outcome={outcome:?}",
                 server.incarnation.server,
@@ -290,7 +290,7 @@
     pub(super) fn prune_links(&self, leading_since: Instant) {
         self.with_fleet(|store| {
             let is_known = |i: &Incarnation| store.incarnation(i).is_some();
-            self.links.borrow_mut().retain(|i, _| is_known(i));
+            self.clients.borrow_mut().retain(|i, _| is_known(i));
             let mut leases = self.leases(leading_since);
             leases.calls_mut().retain(is_known);
             leases.retain_heartbeats(|server| store.server(server).is_some());
@@ -302,4 +302,4 @@
 }
 
 /// Connections to backend servers.
-pub(super) type Links = HashMap<Incarnation, Rc<Link>>;
+pub(super) type Clients = HashMap<Incarnation, Rc<GrantClient>>;
--- a/src/fleet/orders.rs
+++ b/src/fleet/due_calls.rs
@@ -13,7 +13,7 @@
 
 /// Calls that are due at one backend server.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ServerOrders {
+pub struct DueCalls {
     /// Grants to send or to renew.
     pub grants: Vec<GrantedRange>,
     /// Keys to take back.
@@ -29,11 +29,11 @@
     calls: &CallLeases,
     is_settled: F,
     now: Instant,
-) -> HashMap<Incarnation, ServerOrders>
+) -> HashMap<Incarnation, DueCalls>
 where
     F: Fn(&KeyRange) -> bool,
 {
-    let mut orders: HashMap<Incarnation, ServerOrders> = HashMap::new();
+    let mut due: HashMap<Incarnation, DueCalls> = HashMap::new();
     let mut ranges = ranges.iter().peekable();
     while let Some(range) = ranges.next() {
         let Some(owner) = &range.owner else {
@@ -55,12 +55,12 @@
             run.to = next.to;
         }
         if to_release && !calls.is_released(owner, &run) && !calls.is_granting(owner, &run) {
-            let orders = orders.entry(owner.clone()).or_default();
-            orders.releases.push(run);
+            let due = due.entry(owner.clone()).or_default();
+            due.releases.push(run);
         }
         if !to_release && calls.is_due(owner, &run, RENEW_INTERVAL, now) {
-            let orders = orders.entry(owner.clone()).or_default();
-            orders.grants.push(GrantedRange {
+            let due = due.entry(owner.clone()).or_default();
+            due.grants.push(GrantedRange {
                 from: run.from,
                 to: run.to,
                 fence: run.fence,
@@ -68,5 +68,5 @@
             });
         }
     }
-    orders
+    due
 }
--- a/src/fleet/courier.rs
+++ b/src/fleet/grant_client.rs
@@ -41,7 +41,7 @@
 
 /// Path and body of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OrderCall {
+pub struct CallBody {
     /// Path of the request.
     pub path: &'static str,
     /// Body of the request, as JSON.
@@ -52,9 +52,9 @@
 #[derive(Clone, Debug)]
 pub struct CallFormat {
     /// Call that grants keys for a duration.
-    pub grant: fn(&GrantedRange, Duration) -> OrderCall,
+    pub grant: fn(&GrantedRange, Duration) -> CallBody,
     /// Call that takes keys back.
-    pub release: fn(&Run) -> OrderCall,
+    pub release: fn(&Run) -> CallBody,
     /// Header with the name of the backend server that the call is meant for.
     pub expected_server: HeaderName,
     /// Header of the response to a release with the handover token.
@@ -63,8 +63,8 @@
 
 /// Result of one call.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum OrderOutcome {
-    /// The backend server did as it was told; with the handover token of a release.
+pub enum CallOutcome {
+    /// The backend server applied the call; with the handover token of a release.
     Done(Option<HandoverToken>),
     /// The backend server refused.
     Refused(StatusCode),
@@ -78,7 +78,7 @@
 
 /// Connection to a backend server and the calls under way there.
 #[derive(Default)]
-pub struct Link {
+pub struct GrantClient {
     idle: RefCell<Option<HttpConnection>>,
     /// Whether grants are being sent.
     pub busy: Cell<bool>,
@@ -90,9 +90,9 @@
     pub releasing: RefCell<HashSet<Run>>,
 }
 
-impl Link {
+impl GrantClient {
     /// Sends a grant on the kept connection; `before_write` may still cancel it.
-    pub async fn send_grant<W>(&self, request: Request<'_>, before_write: W) -> OrderOutcome
+    pub async fn send_grant<W>(&self, request: Request<'_>, before_write: W) -> CallOutcome
     where
         W: Fn() -> bool,
     {
@@ -102,16 +102,16 @@
             None => self.connect(request.address).await,
         };
         let Some(mut connection) = connection else {
-            return OrderOutcome::NotSent;
+            return CallOutcome::NotSent;
         };
         if !before_write() {
             *self.idle.borrow_mut() = Some(connection);
-            return OrderOutcome::Cancelled;
+            return CallOutcome::Cancelled;
         }
         let outcome = self
             .exchange(&mut connection, &request, GRANT_TIMEOUT)
             .await;
-        if !matches!(outcome, OrderOutcome::Unanswered) && connection.is_idle() {
+        if !matches!(outcome, CallOutcome::Unanswered) && connection.is_idle() {
             *self.idle.borrow_mut() = Some(connection);
         }
         outcome
@@ -119,7 +119,7 @@
 
     /// Sends a release on a connection of its own, so that it holds up no grant and its response
     /// can't be that of an earlier call.
-    pub async fn send_release<W>(&self, request: Request<'_>, before_write: W) -> OrderOutcome
+    pub async fn send_release<W>(&self, request: Request<'_>, before_write: W) -> CallOutcome
     where
         W: Fn() -> bool,
     {
@@ -128,8 +128,8 @@
                 self.exchange(&mut connection, &request, RELEASE_TIMEOUT)
                     .await
             }
-            Some(_) => OrderOutcome::Cancelled,
-            None => OrderOutcome::NotSent,
+            Some(_) => CallOutcome::Cancelled,
+            None => CallOutcome::NotSent,
         }
     }
 
@@ -150,7 +150,7 @@
         connection: &mut HttpConnection,
         request: &Request<'_>,
         timeout: Duration,
-    ) -> OrderOutcome {
+    ) -> CallOutcome {
         let exchange = async {
             connection.write(request.encode()).await.ok()?;
             read_response(connection).await
@@ -159,16 +159,16 @@
             Ok(Some((parts, _))) => outcome(&parts, &request.format.token),
             Ok(None) => {
                 self.closed_at.set(Some(clock::now()));
-                OrderOutcome::Unanswered
+                CallOutcome::Unanswered
             }
-            Err(_) => OrderOutcome::Unanswered,
+            Err(_) => CallOutcome::Unanswered,
         }
     }
 }
 
-impl fmt::Debug for Link {
+impl fmt::Debug for GrantClient {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Link").finish_non_exhaustive()
+        f.debug_struct("GrantClient").finish_non_exhaustive()
     }
 }
 
@@ -182,12 +182,12 @@
     /// Incarnation that the call is meant for.
     pub incarnation: &'a Incarnation,
     /// Path and body.
-    pub call: OrderCall,
+    pub call: CallBody,
 }
 
 impl Request<'_> {
     fn encode(&self) -> Vec<u8> {
-        let OrderCall { path, body } = &self.call;
+        let CallBody { path, body } = &self.call;
         let head = format!(
             "POST {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n{}: {}\r\nContent-Length: {}\r\n\r\n",
             self.address,
@@ -199,16 +199,16 @@
     }
 }
 
-fn outcome(parts: &response::Parts, token: &HeaderName) -> OrderOutcome {
+fn outcome(parts: &response::Parts, token: &HeaderName) -> CallOutcome {
     match parts.status {
         StatusCode::OK => {
             let token = parts.headers.get(token).and_then(|t| t.to_str().ok());
-            OrderOutcome::Done(token.filter(|t| !t.is_empty()).map(Into::into))
+            CallOutcome::Done(token.filter(|t| !t.is_empty()).map(Into::into))
         }
         StatusCode::CONFLICT | StatusCode::MISDIRECTED_REQUEST | StatusCode::BAD_REQUEST => {
-            OrderOutcome::Refused(parts.status)
+            CallOutcome::Refused(parts.status)
         }
-        _ => OrderOutcome::Unanswered,
+        _ => CallOutcome::Unanswered,
     }
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -18,16 +18,16 @@
 
 pub mod call_leases;
 pub mod coordinator;
-pub mod courier;
 pub mod daemon;
 mod delivery;
+pub mod due_calls;
 pub mod encoding;
 pub mod frontend;
+pub mod grant_client;
 pub mod leases;
 pub mod load;
 pub mod messages;
 pub mod model;
-pub mod orders;
 pub mod plan;
 pub mod ranges;
 pub mod reassign;
--- a/src/fleet/tests/calls.rs
+++ b/src/fleet/tests/calls.rs
@@ -8,10 +8,10 @@
 
 use super::server;
 use crate::fleet::call_leases::Run;
+use crate::fleet::due_calls;
 use crate::fleet::leases::Leases;
 use crate::fleet::messages::{GrantedRange, ReleasedRange};
 use crate::fleet::model::{Incarnation, Key, KeyRange};
-use crate::fleet::orders;
 use crate::fleet::{Change, Server, Store};
 use crate::table::Delivery;
 
@@ -230,17 +230,17 @@
     fn send_due(&mut self) {
         let is_settled = |r: &KeyRange| self.leases.is_settled(r, self.now);
         let ranges = self.store.ranges(SERVICE).unwrap();
-        let due = orders::due(ranges, self.leases.calls(), is_settled, self.now);
-        for (incarnation, orders) in due {
+        let due = due_calls::due(ranges, self.leases.calls(), is_settled, self.now);
+        for (incarnation, calls) in due {
             let is_granting = self
                 .under_way(&incarnation)
                 .any(|c| matches!(c.order, Order::Grant(_)));
             let mut latency = Duration::ZERO;
-            for grant in orders.grants.into_iter().filter(|_| !is_granting) {
+            for grant in calls.grants.into_iter().filter(|_| !is_granting) {
                 latency += Duration::from_millis(self.random.u64(1..10));
                 self.send(&incarnation, Order::Grant(grant), latency);
             }
-            for run in orders.releases {
+            for run in calls.releases {
                 let is_releasing = self
                     .under_way(&incarnation)
                     .any(|c| matches!(c.order, Order::Release(_)) && c.run() == run);
@@ -410,7 +410,7 @@
     }
     let before = model.grants_sent;
     let runs = {
-        let due = orders::due(
+        let due = due_calls::due(
             model.store.ranges(SERVICE).unwrap(),
             &crate::fleet::call_leases::CallLeases::default(),
             |_| true,
