--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -383,7 +383,7 @@
     json::response(StatusCode::OK, &draining)
 }
 
-/// The response when the log has a change whose result can't be told.
+/// The response when the log has a change whose result can't be decoded.
 fn unexpected_result(applied: &Applied) -> HttpResponse {
     log::error!("event=control.unexpected applied={applied:?}");
     let reason = "the result of the change could not be read";
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -486,7 +486,7 @@
         leases::lease_duration(targets.max().unwrap_or_default(), self.max_lease)
     }
 
-    /// How the owners of keys of a service are told which keys they own.
+    /// How grants reach the key owners of a service.
     pub(super) fn delivery(&self, service: &str) -> Delivery {
         let table = self.state.table.borrow();
         table
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -211,7 +211,7 @@
 
     /// Whether it is proved that the present owner of a range no longer holds it.
     ///
-    /// `delivery` is how the service's owners are told now; leases from before a change of it count
+    /// `delivery` is the present one of the service; leases from before a change of it count
     /// as well.
     pub fn is_free(
         &self,
--- a/src/table/model.rs
+++ b/src/table/model.rs
@@ -117,7 +117,7 @@
     }
 }
 
-/// How the owners of keys are told which keys they own.
+/// How grants reach the owners of keys.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Delivery {
@@ -139,7 +139,7 @@
     /// Whether each key has one owner among the backend servers.
     #[serde(rename = "owned")]
     pub sharded: bool,
-    /// How owners are told which keys they own.
+    /// How grants reach the key owners.
     #[serde(default)]
     pub delivery: Delivery,
     /// The service as received from the operator.
