Gateway: a connection carries the id of a request once

Cause: a response was matched by the caller's id, which all attempts of a request share. The connection of a rejected attempt returned to the pool and was used for the retry at the same server; a late second copy of the rejection arrived where the answer to the retry was due and had the right id. Ruled out: two rejections by the server, attempts on two connections, a third attempt. Requests without an id use a new connection. Related paths: a caller that uses an id again, and a request without one, could get the copy of an earlier answer; the same change and tests cover them.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::HeaderValue;
+
 use super::backend_connection::BackendConnection;
 use super::head::ReportedLoad;
 use crate::clock;
@@ -272,18 +274,24 @@
         self.backoff_until.set(Some(clock::now() + duration));
     }
 
-    /// Takes the most recently used pooled connection if it was idle for less than `max_idle`.
-    pub fn take_idle(&self, max_idle: Duration) -> Option<BackendConnection> {
+    /// Takes the most recently used pooled connection that was idle for less than `max_idle` and
+    /// can carry a request with this id.
+    pub fn take_idle(
+        &self,
+        max_idle: Duration,
+        request_id: Option<&HeaderValue>,
+    ) -> Option<BackendConnection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
-        while let Some(last) = idle.pop() {
-            let usable = now < last.expires_at && last.connection.http.is_idle();
-            match usable {
-                false => {}
-                true if now < last.idle_since + max_idle => return Some(last.connection),
-                true => {
-                    idle.push(last);
-                    return None;
+        for position in (0..idle.len()).rev() {
+            let candidate = idle.get(position)?;
+            if now >= candidate.idle_since + max_idle {
+                return None;
+            }
+            if candidate.connection.can_carry(request_id) {
+                let taken = idle.remove(position);
+                if now < taken.expires_at && taken.connection.http.is_idle() {
+                    return Some(taken.connection);
                 }
             }
         }
@@ -307,7 +315,8 @@
         idle.saturating_add(self.in_flight.get())
     }
 
-    /// Returns a connection to the pool if the total stays within `max_connections`.
+    /// Returns a connection to the pool if it can carry more requests and the total stays within
+    /// `max_connections`.
     pub fn put_idle(
         &self,
         connection: BackendConnection,
@@ -318,8 +327,9 @@
         let keep_for = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |t| t.mul_f64(IDLE_TIMEOUT_RATIO));
         let mut idle = self.idle.borrow_mut();
         idle.retain(|i| now < i.expires_at);
-        if idle.len() < MAX_IDLE_CONNECTIONS && self.connection_count(idle.len()) <= max_connections
-        {
+        let has_room = idle.len() < MAX_IDLE_CONNECTIONS
+            && self.connection_count(idle.len()) <= max_connections;
+        if has_room && !connection.is_exhausted() {
             idle.push(IdleConnection {
                 connection,
                 idle_since: now,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -142,7 +142,8 @@
     sent_on: &Cell<Option<ConnectionUse>>,
     in_flight: InFlightGuard,
 ) -> Outcome {
-    let pooled = backend.take_idle(attempt.max_idle);
+    let request_id = attempt.head.request_id.as_ref();
+    let pooled = backend.take_idle(attempt.max_idle, request_id);
     let is_new_connection = pooled.is_none();
     let mut connection = match pooled {
         Some(connection) => connection,
@@ -163,7 +164,7 @@
         left,
         length,
     );
-    sent_on.set(Some(connection.record_request()));
+    sent_on.set(Some(connection.record_request(request_id)));
     let is_full_body = matches!(body, RequestBody::Full(_));
     let fully_sent = match body {
         RequestBody::Full(bytes) => {
@@ -281,7 +282,7 @@
         let matches_request = match (response_id, &attempt.head.request_id) {
             (Some(response_id), Some(request_id)) => response_id == request_id,
             (None, Some(_)) => is_new_connection && mismatched == 0,
-            (_, None) => true,
+            (_, None) => is_new_connection,
         };
         let read = read_response_body(&mut connection.http, &mut body).await;
         if !matches_request {
--- a/src/gateway/tests/backend.rs
+++ b/src/gateway/tests/backend.rs
@@ -1,3 +1,4 @@
+use http::HeaderValue;
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::gateway::backend::Backend;
@@ -7,6 +8,8 @@
 
 use super::selection::backend;
 
+static ID: HeaderValue = HeaderValue::from_static("7");
+
 /// Opens connections whose other ends stay open.
 async fn open_connections(count: usize) -> Vec<BackendConnection> {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -22,7 +25,8 @@
 
 /// Takes all idle connections out of the pool and returns their number.
 fn take_all_idle(backend: &Backend) -> usize {
-    let taken = std::iter::from_fn(|| backend.take_idle(std::time::Duration::from_mins(1)));
+    let taken =
+        std::iter::from_fn(|| backend.take_idle(std::time::Duration::from_mins(1), Some(&ID)));
     taken.count()
 }
 
@@ -80,3 +84,40 @@
     assert_eq!((latency.ratio, latency.samples), (4.0, 2));
     assert!(backend.take_latency().is_none());
 }
+
+#[test]
+fn a_pooled_connection_carries_an_id_once_and_a_request_without_id_never() {
+    runtime::run(async {
+        let backend = backend("a", "near");
+        let max_idle = std::time::Duration::from_mins(1);
+        for mut connection in open_connections(2).await {
+            connection.record_request(Some(&ID));
+            backend.put_idle(connection, None, 4);
+        }
+        assert!(backend.take_idle(max_idle, Some(&ID)).is_none());
+        assert!(backend.take_idle(max_idle, None).is_none());
+        let other = HeaderValue::from_static("8");
+        assert!(backend.take_idle(max_idle, Some(&other)).is_some());
+        assert_eq!(take_all_idle(&backend), 0);
+    });
+}
+
+#[test]
+fn a_connection_that_has_carried_many_requests_is_closed() {
+    runtime::run(async {
+        let backend = backend("a", "near");
+        let mut connection = open_connections(1).await.remove(0);
+        let mut carried = 0_u32;
+        loop {
+            let id = HeaderValue::from(carried);
+            connection.record_request(Some(&id));
+            carried += 1;
+            backend.put_idle(connection, None, 4);
+            let next = HeaderValue::from(carried);
+            let idle = backend.take_idle(std::time::Duration::from_mins(1), Some(&next));
+            let Some(reused) = idle else { break };
+            connection = reused;
+        }
+        assert!((2..10_000).contains(&carried), "{carried}");
+    });
+}
--- a/src/gateway/tests/copies.rs
+++ b/src/gateway/tests/copies.rs
@@ -105,3 +105,62 @@
         }
     }
 }
+
+/// Rejections of a request that was not run, by a server that has room for a retry.
+const REJECTIONS: [&str; 2] = [
+    "HTTP/1.1 429 No\nx-request: ID\nx-refused: 1\nx-load: 0,0,4\ncontent-length: 0\n\n",
+    "HTTP/1.1 503 No\nx-request: ID\nx-refused: 1\nx-load: 0,0,4\ncontent-length: 0\n\n",
+];
+
+/// Guards against status 503 ("not run") for a request that ran: the late second copy of a
+/// rejection was taken for the answer to the retry, which has the same id.
+#[test]
+fn a_late_copy_of_a_rejection_is_not_the_answer_to_the_retry() {
+    for rejection in REJECTIONS {
+        for pause in PAUSES_MS.map(Duration::from_millis) {
+            runtime::run(async move {
+                let retry = vec![Action::SendOnReused(rejection), Action::Pause(pause), OWN];
+                let backend = MockBackend::start(vec![vec![Action::Send(rejection)], retry]);
+                let fixture = Fixture::new(&[&backend]);
+                let request = "POST /keyed-once/1 HTTP/1.1\nhost: h\nx-request: 7\nx-key: 5\n\n";
+                let response = fixture.request(request).await;
+                let case = format!("{rejection:?} {pause:?}");
+                assert_eq!(backend.requests.borrow().len(), 2, "{case}");
+                assert!(response.ends_with("own"), "{case}: {response}");
+            });
+        }
+    }
+}
+
+/// Guards against a caller that uses an id again and gets the copy of its earlier answer.
+#[test]
+fn a_late_copy_is_not_the_answer_to_a_later_request_with_the_same_id() {
+    let earlier = "HTTP/1.1 200 OK\nx-request: ID\nx-signature: s\ncontent-length: 7\n\nearlier";
+    runtime::run(async move {
+        let later = vec![Action::SendOnReused(earlier), OWN];
+        let backend = MockBackend::start(vec![vec![Action::Send(earlier)], later]);
+        let fixture = Fixture::new(&[&backend]);
+        let request = request("GET", 7);
+        assert!(fixture.request(&request).await.ends_with("earlier"));
+        assert!(fixture.request(&request).await.ends_with("own"));
+    });
+}
+
+/// Guards against a request without an id that gets the copy of an answer to another request.
+#[test]
+fn a_late_copy_is_not_the_answer_to_a_request_without_an_id() {
+    let earlier = "HTTP/1.1 200 OK\nx-request: 7\nx-signature: s\ncontent-length: 7\n\nearlier";
+    runtime::run(async move {
+        let later = vec![Action::SendOnReused(earlier), OWN];
+        let backend = MockBackend::start(vec![vec![Action::Send(earlier)], later]);
+        let fixture = Fixture::new(&[&backend]);
+        assert!(
+            fixture
+                .request(&request("GET", 7))
+                .await
+                .ends_with("earlier")
+        );
+        let without_id = "GET /safe/1 HTTP/1.1\nhost: h\nx-deadline: 4000\n\n";
+        assert!(fixture.request(without_id).await.ends_with("own"));
+    });
+}
--- a/src/gateway/tests/mock.rs
+++ b/src/gateway/tests/mock.rs
@@ -24,6 +24,8 @@
 pub(super) enum Action {
     /// Sends these bytes; `ID` in them is replaced by the id of the request.
     Send(&'static str),
+    /// Sends these bytes like [`Action::Send`] if the connection has carried a request before.
+    SendOnReused(&'static str),
     /// Waits.
     Pause(Duration),
     /// Sends these bytes again and again until the other end closes the connection, with a pause
@@ -72,6 +74,7 @@
         script: Rc<RefCell<std::vec::IntoIter<Vec<Action>>>>,
     ) {
         let mut text = String::new();
+        let mut is_reused = false;
         while let Some(request) = read_message(&mut stream, &mut text).await {
             let id = header(&request, "x-request").unwrap_or_default();
             self.requests.borrow_mut().push(request);
@@ -80,7 +83,8 @@
             };
             for action in actions {
                 match action {
-                    Action::Send(text) => {
+                    Action::SendOnReused(_) if !is_reused => {}
+                    Action::Send(text) | Action::SendOnReused(text) => {
                         let bytes = text.replace("ID", &id).replace('\n', "\r\n");
                         if stream.write_all(bytes.into_bytes()).await.0.is_err() {
                             return;
@@ -106,6 +110,7 @@
                     }
                 }
             }
+            is_reused = true;
         }
     }
 }
@@ -184,8 +189,8 @@
 }
 
 impl Fixture {
-    /// Routes `/safe/` and `/once/` to backend servers without keys, and `/keyed/` to the
-    /// first of them, which owns all keys of another service.
+    /// Routes `/safe/` and `/once/` to backend servers without keys, and `/keyed/` and
+    /// `/keyed-once/` to the first of them, which owns all keys of another service.
     pub(super) fn new(backends: &[&MockBackend]) -> Self {
         let gateway = gateway();
         let table = Table {
@@ -194,6 +199,7 @@
                 route("/safe/", Idempotency::Idempotent, "plain"),
                 route("/once/", Idempotency::AtMostOnce, "plain"),
                 route("/keyed/", Idempotency::Idempotent, "owned"),
+                route("/keyed-once/", Idempotency::AtMostOnce, "owned"),
             ],
             services: vec![service("plain", false), service("owned", true)],
             limits: Limits::default(),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 mod budget;
 mod connections;
 mod copies;
+mod copy_model;
 mod endless;
 mod head;
 mod mock;
