Grants by call: an answer counts for the call whose id it repeats

What could be seen: two servers hold the same keys, where keys are granted by calls. Cause: grants use a kept connection, and nothing told which call an answer belongs to. The late copy of a refusal counted for the next grant, whose keys were then taken for free though the server held them; the copy of a success started a lease before its grant had arrived. Change: calls have an id; answers with another id are skipped, and a connection is kept only after an answer that repeats the id of its call.

--- a/src/fleet/grant_client.rs
+++ b/src/fleet/grant_client.rs
@@ -3,6 +3,9 @@
 //! A connection whose call got no clear answer is reset: then no byte of the call can
 //! arrive later than the network delays it, which bounds the lease of the call. A reset
 //! by the other end may mean that another process has the address by now.
+//!
+//! A second copy of a response must not count for the next call. Each call has an id, and a
+//! connection is kept only after a response that repeats the id of its call.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -39,6 +42,9 @@
 
 const MAX_BODY_BYTES: u64 = 16 << 10;
 
+/// Responses to other calls that are skipped on one connection.
+const MAX_MISMATCHED_RESPONSES: u32 = 4;
+
 /// Path and body of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallBody {
@@ -57,6 +63,8 @@
     pub release: fn(&Run) -> CallBody,
     /// Header with the name of the backend server that the call is meant for.
     pub expected_server: HeaderName,
+    /// Header with the id of the call, repeated in the response.
+    pub request_id: HeaderName,
     /// Header of the response to a release with the handover token.
     pub token: HeaderName,
 }
@@ -80,6 +88,7 @@
 #[derive(Default)]
 pub struct GrantClient {
     idle: RefCell<Option<HttpConnection>>,
+    next_id: Cell<u64>,
     /// Whether grants are being sent.
     pub busy: Cell<bool>,
     /// No grant is sent before.
@@ -108,10 +117,10 @@
             *self.idle.borrow_mut() = Some(connection);
             return CallOutcome::Cancelled;
         }
-        let outcome = self
+        let (outcome, reusable) = self
             .exchange(&mut connection, &request, GRANT_TIMEOUT)
             .await;
-        if !matches!(outcome, CallOutcome::Unanswered) && connection.is_idle() {
+        if reusable && connection.is_idle() {
             *self.idle.borrow_mut() = Some(connection);
         }
         outcome
@@ -125,8 +134,8 @@
     {
         match self.connect(request.address).await {
             Some(mut connection) if before_write() => {
-                self.exchange(&mut connection, &request, RELEASE_TIMEOUT)
-                    .await
+                let exchange = self.exchange(&mut connection, &request, RELEASE_TIMEOUT);
+                exchange.await.0
             }
             Some(_) => CallOutcome::Cancelled,
             None => CallOutcome::NotSent,
@@ -145,23 +154,27 @@
         }
     }
 
+    /// Sends a call and reads its response; true if the connection can be reused.
     async fn exchange(
         &self,
         connection: &mut HttpConnection,
         request: &Request<'_>,
         timeout: Duration,
-    ) -> CallOutcome {
+    ) -> (CallOutcome, bool) {
+        let id = self.next_id.get();
+        self.next_id.set(id.wrapping_add(1));
+        let id = format!("{id:016x}");
         let exchange = async {
-            connection.write(request.encode()).await.ok()?;
-            read_response(connection).await
+            connection.write(request.encode(&id)).await.ok()?;
+            read_own_response(connection, &request.format.request_id, &id).await
         };
         match time::timeout(timeout, exchange).await {
-            Ok(Some((parts, _))) => outcome(&parts, &request.format.token),
+            Ok(Some((parts, reusable))) => (outcome(&parts, &request.format.token), reusable),
             Ok(None) => {
                 self.closed_at.set(Some(clock::now()));
-                CallOutcome::Unanswered
+                (CallOutcome::Unanswered, false)
             }
-            Err(_) => CallOutcome::Unanswered,
+            Err(_) => (CallOutcome::Unanswered, false),
         }
     }
 }
@@ -186,11 +199,12 @@
 }
 
 impl Request<'_> {
-    fn encode(&self) -> Vec<u8> {
+    fn encode(&self, id: &str) -> Vec<u8> {
         let CallBody { path, body } = &self.call;
         let head = format!(
-            "POST {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n{}: {}\r\nContent-Length: {}\r\n\r\n",
+            "POST {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n{}: {id}\r\n{}: {}\r\nContent-Length: {}\r\n\r\n",
             self.address,
+            self.format.request_id,
             self.format.expected_server,
             self.incarnation.server,
             body.len(),
@@ -212,6 +226,24 @@
     }
 }
 
+/// Reads the response to the call with an id and skips those with another id; true if it has the
+/// id and nothing was skipped.
+async fn read_own_response(
+    connection: &mut HttpConnection,
+    name: &HeaderName,
+    id: &str,
+) -> Option<(response::Parts, bool)> {
+    for skipped in 0..=MAX_MISMATCHED_RESPONSES {
+        let (parts, _) = read_response(connection).await?;
+        match parts.headers.get(name) {
+            Some(found) if found.as_bytes() == id.as_bytes() => return Some((parts, skipped == 0)),
+            Some(_) => {}
+            None => return Some((parts, false)),
+        }
+    }
+    None
+}
+
 /// Reads a whole response; `None` if the connection ends or the bytes are no response.
 async fn read_response(connection: &mut HttpConnection) -> Option<(response::Parts, Bytes)> {
     let ResponseHead { parts, mut body } = loop {
