Proxy: a connection to an owner is closed after a refusal

What callers could see: the verdict not-run for a request or claim that ran (document interface). Cause: the connection of a refused request returned to the pool and was used for the retry; the late second copy of the refusal was taken for the answer. Answers of this interface carry no id. Change: the client closes a connection after a response with agateyoke-refused.

--- a/src/entry/proxy/mod.rs
+++ b/src/entry/proxy/mod.rs
@@ -100,7 +100,7 @@
             inner: Rc::new(Inner {
                 services: ServiceCache::new(Rc::clone(&context.view)),
                 context,
-                client: Client::new(MAX_RESPONSE_BYTES),
+                client: Client::with_closing_header(MAX_RESPONSE_BYTES, Some(headers::REFUSED)),
                 id_prefix: fastrand::u32(..),
                 request_count: Cell::default(),
             }),
--- a/src/entry/proxy/tests/fixture.rs
+++ b/src/entry/proxy/tests/fixture.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use monoio::io::AsyncReadRent;
-use monoio::net::TcpListener;
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::net::{TcpListener, TcpStream};
 use monoio::time;
 use serde_json::json;
 
@@ -91,6 +91,40 @@
         owner
     }
 
+    /// Starts an owner that refuses every second request, and sends each refusal again when the next
+    /// request comes on its connection.
+    pub(super) fn start_copying(name: &'static str, reason: &'static str) -> Self {
+        let (listener, owner) = Self::new(name);
+        let copying = owner.clone();
+        monoio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                monoio::spawn(copying.clone().serve_copying(stream, reason));
+            }
+        });
+        owner
+    }
+
+    async fn serve_copying(self, mut stream: TcpStream, reason: &'static str) {
+        let refusal =
+            format!("HTTP/1.1 503 No\r\nagateyoke-refused: {reason}\r\ncontent-length: 0\r\n\r\n");
+        let mut copy = String::new();
+        while let (Ok(1..), _) = stream.read(vec![0u8; 4096]).await {
+            let mut bytes = std::mem::take(&mut copy);
+            if self.refused.get() <= self.run_count() {
+                self.refused.set(self.refused.get() + 1);
+                bytes.push_str(&refusal);
+                copy.clone_from(&refusal);
+            } else {
+                let run = (String::new(), HeaderMap::new());
+                self.requests.borrow_mut().push(run);
+                bytes.push_str("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown");
+            }
+            if stream.write_all(bytes.into_bytes()).await.0.is_err() {
+                return;
+            }
+        }
+    }
+
     async fn serve(self, listener: TcpListener) {
         let handler = move |request| self.clone().handle(request);
         web::serve(listener, Limits::default(), StopHandle::default(), handler).await;
--- a/src/entry/proxy/tests/retries.rs
+++ b/src/entry/proxy/tests/retries.rs
@@ -222,3 +222,21 @@
         assert_eq!(owner.run_count(), 1);
     });
 }
+
+/// Guards against the verdict "not run" for a request that ran: the late second copy of a refusal
+/// was taken for the answer to the retry on the same connection.
+#[test]
+fn late_copy_of_a_refusal_is_not_the_answer_to_the_retry() {
+    for reason in ["shed", "drain"] {
+        runtime::run(async move {
+            let harness = Harness::start();
+            let owner = FakeOwner::start_copying("a", reason);
+            harness.assign(Some(&owner));
+            for path in ["/once/k", "/claim/k"] {
+                let response = harness.post(path).await;
+                assert!(response.is(200, "done"), "{reason} {path}: {response:?}");
+            }
+            assert_eq!(owner.run_count(), 2);
+        });
+    }
+}
--- a/src/web/client.rs
+++ b/src/web/client.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Method, StatusCode, header, response};
+use http::{HeaderName, Method, StatusCode, header, response};
 use monoio::io::AsyncWriteRentExt;
 use monoio::io::sink::Sink;
 use monoio::io::stream::Stream;
@@ -90,15 +90,23 @@
 
 struct Inner {
     max_body_bytes: usize,
+    closing_header: Option<HeaderName>,
     pool: Pool,
 }
 
 impl Client {
     /// Creates a client; responses with a body over `max_body_bytes` are errors.
     pub fn new(max_body_bytes: usize) -> Self {
+        Self::with_closing_header(max_body_bytes, None)
+    }
+
+    /// Like [`Self::new`]; a connection is closed after a response with the header
+    /// `closing_header`, so that a second copy of that response reaches no other request.
+    pub fn with_closing_header(max_body_bytes: usize, closing_header: Option<HeaderName>) -> Self {
         Self {
             inner: Rc::new(Inner {
                 max_body_bytes,
+                closing_header,
                 pool: Pool::default(),
             }),
         }
@@ -187,7 +195,10 @@
         } else {
             read_body(connection, payload, self.inner.max_body_bytes).await
         };
-        let reusable = !until_end && server::keeps_alive(head.version, &head.headers);
+        let closing_header = self.inner.closing_header.as_ref();
+        let reusable = !until_end
+            && server::keeps_alive(head.version, &head.headers)
+            && !closing_header.is_some_and(|name| head.headers.contains_key(name));
         Ok((http::Response::from_parts(head, body?), reusable))
     }
 }
