--- a/src/log/snapshots.rs
+++ b/src/log/snapshots.rs
@@ -11,6 +11,7 @@
 use super::oneshot;
 use super::state::PartialSnapshot;
 use super::writer::Job;
+use crate::ids;
 
 /// Delay after a snapshot that could not be encoded.
 const RETRY_DELAY: Duration = Duration::from_secs(10);
@@ -39,6 +40,12 @@
             }
         }
         let snapshot = Arc::new(snapshot);
+        if is_superseded(&node, snapshot.index) {
+            node.record("log.snapshot_dropped", &format!("index {}", snapshot.index));
+            continue;
+        }
+        // No await between the check and the write: jobs for the disk run in the order of their
+        // writes, and an installation that begins later is queued behind this one.
         if !node.write(Job::SaveSnapshot(Arc::clone(&snapshot))).await {
             return;
         }
@@ -58,6 +65,13 @@
     grown >= node.tuning.snapshot_entries && !state.installing && !state.stopped
 }
 
+/// Whether a leader's snapshot was installed, or began to be, while a snapshot of this replica up to
+/// `index` was encoded.
+fn is_superseded(node: &Node, index: ids::LogIndex) -> bool {
+    let state = node.state();
+    state.installing || index <= state.log.snapshot_index()
+}
+
 /// Handles a chunk of a leader's snapshot; the last chunk installs the snapshot.
 pub(super) async fn handle_chunk(node: &Node, chunk: SnapshotChunk) -> AppendResponse {
     let outcome = receive_chunk(node, &chunk).await;
--- a/src/log/tests/harness.rs
+++ b/src/log/tests/harness.rs
@@ -21,11 +21,16 @@
 /// Commands applied by one replica, in order.
 pub(super) type Applied = Rc<RefCell<Vec<String>>>;
 
+/// Function that any thread may call.
+pub(super) type Hook = Arc<dyn Fn() + Send + Sync>;
+
 /// A VM whose data directory survives when its replica is stopped.
 pub(super) struct Vm {
     pub(super) config: Config,
     pub(super) applied: Applied,
     pub(super) handle: Option<Handle>,
+    /// Called in the encoding thread before a snapshot is encoded.
+    pub(super) before_encode: Option<Hook>,
     running: Rc<RefCell<Option<Handle>>>,
     journal: Journal,
     dir: TempDir,
@@ -110,6 +115,7 @@
                 config,
                 applied: Applied::default(),
                 handle: None,
+                before_encode: None,
                 running: Rc::clone(&running[from]),
                 journal: Journal::new(name(from)),
                 dir,
@@ -138,7 +144,17 @@
             trailing_entries: 10,
             ..Tuning::default()
         };
-        let state_machine = state_machine(&vm.applied);
+        let mut state_machine = state_machine(&vm.applied);
+        if let Some(hook) = vm.before_encode.clone() {
+            let capture = state_machine.snapshot;
+            state_machine.snapshot = Box::new(move || {
+                let (encode, hook) = (capture(), Arc::clone(&hook));
+                Box::new(move || {
+                    hook();
+                    encode()
+                })
+            });
+        }
         let handle = log::open_tuned(vm.config.clone(), tuning, state_machine, vm.journal.clone())?;
         *vm.running.borrow_mut() = Some(handle.clone());
         vm.handle = Some(handle);
--- a/src/log/tests/slow_snapshot.rs
+++ b/src/log/tests/slow_snapshot.rs
@@ -1,4 +1,4 @@
-//! Test of a snapshot that takes long to encode.
+//! Tests of a snapshot that takes long to encode.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -6,8 +6,8 @@
 
 use monoio::net::TcpListener;
 
-use super::harness::until;
-use crate::log::{Config, EncodeSnapshot, Member, StateMachine, Tuning, open_tuned};
+use super::harness::{Cluster, until};
+use crate::log::{Config, EncodeSnapshot, Member, StateMachine, Tuning, data_dir, open_tuned};
 use crate::runtime;
 use crate::timeline::Journal;
 
@@ -92,3 +92,83 @@
         until("a saved snapshot", saved).await;
     });
 }
+
+/// Entries after which a replica of these clusters takes a snapshot.
+const SNAPSHOT_ENTRIES: u64 = 20;
+
+/// Starts a cluster in which a follower is encoding a snapshot; returns it with the follower and
+/// what blocks it.
+async fn start_with_blocked_follower() -> (Cluster, usize, Arc<Blocker>) {
+    let mut cluster = Cluster::start_new(3, SNAPSHOT_ENTRIES).await;
+    let leader = cluster.leader().await;
+    let follower = (leader + 1) % 3;
+    let blocker = Arc::new(Blocker::default());
+    let hook = Arc::clone(&blocker);
+    cluster.vms[follower].before_encode = Some(Arc::new(move || hook.block()));
+    cluster.kill(follower);
+    cluster.start(follower);
+    for number in 0..25 {
+        cluster.propose(&format!("a{number}"), follower).await;
+    }
+    until("a snapshot", || *blocker.entered.lock().unwrap()).await;
+    (cluster, follower, blocker)
+}
+
+/// Index of the snapshot in a replica's data directory; 0 without one.
+fn stored_index(cluster: &Cluster, vm: usize) -> u64 {
+    let content = std::fs::read(data_dir::snapshot_path(&cluster.data_dir(vm)));
+    let content = content.unwrap_or_default();
+    let header = content.split(|b| *b == b'{').nth(1).unwrap_or_default();
+    let text = String::from_utf8_lossy(header);
+    let digits = text.split("\"index\":").nth(1).unwrap_or("0");
+    let digits: String = digits.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().unwrap_or_default()
+}
+
+/// Guards against the loss of acknowledged entries: a replica stored its own older snapshot over
+/// the newer one that it had installed, and could not open its log any more.
+#[test]
+fn snapshot_encoded_before_a_newer_one_was_installed_is_dropped() {
+    runtime::run(async {
+        let (mut cluster, follower, blocker) = start_with_blocked_follower().await;
+        cluster.isolate(follower, true);
+        for number in 0..60 {
+            cluster.propose(&format!("b{number}"), follower).await;
+        }
+        cluster.isolate(follower, false);
+        until("an installed snapshot", || {
+            cluster.event_count(follower, "log.installed") > 0
+        })
+        .await;
+        cluster.propose("after", follower).await;
+        cluster.wait_for_agreement(&[0, 1, 2], 86).await;
+        let installed = stored_index(&cluster, follower);
+        blocker.release();
+        until("the snapshot to be stored or dropped", || {
+            cluster.event_count(follower, "log.snapshot") > 0
+                || cluster.event_count(follower, "log.snapshot_dropped") > 0
+        })
+        .await;
+        assert!(stored_index(&cluster, follower) >= installed);
+        cluster.kill(follower);
+        assert_eq!(cluster.try_start(follower), Ok(()));
+        cluster.wait_for_agreement(&[0, 1, 2], 86).await;
+    });
+}
+
+/// Guards against the same while the leader's snapshot is still being written.
+#[test]
+fn snapshot_encoded_while_one_is_installed_is_dropped() {
+    runtime::run(async {
+        let (cluster, follower, blocker) = start_with_blocked_follower().await;
+        let stored = stored_index(&cluster, follower);
+        cluster.handle(follower).node.state_mut().installing = true;
+        blocker.release();
+        until("the snapshot to be stored or dropped", || {
+            cluster.event_count(follower, "log.snapshot") > 0
+                || cluster.event_count(follower, "log.snapshot_dropped") > 0
+        })
+        .await;
+        assert_eq!(stored_index(&cluster, follower), stored);
+    });
+}
