Gateway: servers that leave or ask for quiet in their responses

Change, leaving: any response head with Server-Leaving: 1 marks the incarnation at this entry VM. It gets new requests only while no other server can take them, and none after drain (new setting of the entry VM, 2 s if left out). The owner of keys is reported to the control VMs with the observations, at once and until the sender sees it drain; control VMs pass on each server once, and the leader records it as the server's own word, so that its keys move, by both ways of granting. Change, quiet: a 503 with Retry-After that answers a request of this VM keeps requests away until the time is over, a minute at most. Other servers take the work; where there is none callers get 503 at once with what is left and up to half more. Also: the bench `slopes` builds again (request id of a grant). Tests: gateway::tests::notices (11), notices of platform with real processes (both ways of granting, quiet). Not done: the document interface and its example server.

--- a/benches/slopes/calls.rs
+++ b/benches/slopes/calls.rs
@@ -108,6 +108,7 @@
             body: Vec::new(),
         },
         expected_server: HeaderName::from_static("x-expected"),
+        request_id: HeaderName::from_static("x-request"),
         token: HeaderName::from_static("x-token"),
     };
     let client = GrantClient::default();
@@ -139,11 +140,14 @@
 async fn answer_calls(listener: TcpListener) {
     while let Ok((mut stream, _)) = listener.accept().await {
         loop {
-            let (read, _) = stream.read(vec![0_u8; 1024]).await;
+            let (read, bytes) = stream.read(vec![0_u8; 1024]).await;
             if !matches!(read, Ok(1..)) {
                 break;
             }
-            let response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            let call = String::from_utf8_lossy(&bytes);
+            let id = call.lines().find(|l| l.starts_with("x-request: "));
+            let id = id.unwrap_or("x-request: none");
+            let response = format!("HTTP/1.1 200 OK\r\n{id}\r\nContent-Length: 0\r\n\r\n");
             if stream
                 .write_all(response.as_bytes().to_vec())
                 .await
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -1,7 +1,7 @@
 //! The leader's coordinator: heartbeats and leases of backend servers, changes of the table.
 
 use std::cell::{Cell, RefCell, RefMut};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -116,6 +116,8 @@
     pub(super) delayed: RefCell<HashMap<Incarnation, Rc<Notify>>>,
     /// Smoothed relative latency of each backend server.
     pub(super) latencies: RefCell<HashMap<ids::ServerName, f64>>,
+    /// Backend servers whose state is being set to draining, as they said that they leave.
+    marking: RefCell<HashSet<Incarnation>>,
 }
 
 impl Coordinator {
@@ -139,6 +141,7 @@
             rebalanced: RefCell::default(),
             first_heartbeat: RefCell::default(),
             latencies: RefCell::default(),
+            marking: RefCell::default(),
             pass_needed: Notify::default(),
             pass_requested: Cell::default(),
             delayed: RefCell::default(),
@@ -186,7 +189,7 @@
     }
 
     /// Adds the observations of entry VMs to the loads and relative latencies.
-    pub fn record_observations(&self, observations: &Observations) {
+    pub fn record_observations(self: &Rc<Self>, observations: &Observations) {
         let mut loads = self.loads.borrow_mut();
         observations.loads.iter().for_each(|l| loads.add(l));
         let mut latencies = self.latencies.borrow_mut();
@@ -197,6 +200,32 @@
             let weight = SAMPLE_DECAY.powi(i32::try_from(latency.samples).unwrap_or(i32::MAX));
             *smoothed = *smoothed * weight + latency.ratio * (1.0 - weight);
         }
+        for incarnation in &observations.leaving {
+            if self.marking.borrow_mut().insert(incarnation.clone()) {
+                let (coordinator, incarnation) = (Rc::clone(self), incarnation.clone());
+                monoio::spawn(async move {
+                    coordinator.mark_leaving(&incarnation).await;
+                    coordinator.marking.borrow_mut().remove(&incarnation);
+                });
+            }
+        }
+    }
+
+    /// Records that a backend server drains, as its responses say that it leaves.
+    ///
+    /// Entry VMs report it until they see the change, so a failed one is not repeated here.
+    async fn mark_leaving(&self, incarnation: &Incarnation) {
+        let state = self.with_fleet(|store| store.incarnation(incarnation).map(|s| s.state));
+        if state != Some(ServerState::Ready) {
+            return;
+        }
+        match self.set_state(incarnation, ServerState::Draining).await {
+            Ok(()) => self.request_pass(),
+            Err(error) => ::log::info!(
+                "event=fleet.leaving_lost server={:?} refused={error:?}",
+                incarnation.server
+            ),
+        }
     }
 
     /// Handles the heartbeat of a backend server and renews its lease.
--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -4,7 +4,7 @@
 //! entry VMs are answered from the VM's own copy of the log, as long as that is up to date.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +23,7 @@
 use super::updates::{self, Poll, Updates};
 use crate::clock;
 use crate::ids;
+use crate::notify::Notify;
 use crate::rpc::{self, CallError, Fault, RpcResult, error, server};
 use crate::table;
 use crate::timeline::Journal;
@@ -68,6 +69,10 @@
     peers: RefCell<BTreeMap<SocketAddr, rpc::Peer>>,
     loads: RefCell<LoadCounts>,
     latencies: RefCell<Vec<RelativeLatency>>,
+    /// Servers that leave, to report to the leader.
+    leaving: RefCell<BTreeSet<Incarnation>>,
+    /// Woken when [`Self::leaving`] gets a server.
+    leaving_added: Notify,
     registering: RefCell<HashSet<ids::VmName>>,
     /// When a heartbeat of each incarnation was last forwarded to the leader.
     forwarded: RefCell<HashMap<Incarnation, Instant>>,
@@ -84,6 +89,8 @@
             peers: RefCell::default(),
             loads: RefCell::default(),
             latencies: RefCell::default(),
+            leaving: RefCell::default(),
+            leaving_added: Notify::default(),
             registering: RefCell::default(),
             forwarded: RefCell::default(),
             encoded: encoding::Cache::default(),
@@ -323,6 +330,18 @@
         self.latencies
             .borrow_mut()
             .extend_from_slice(&observations.latencies);
+        let store = self.coordinator.state.fleet.borrow();
+        let is_news = |i: &&Incarnation| {
+            store
+                .incarnation(i)
+                .is_some_and(|s| s.state == ServerState::Ready)
+        };
+        let mut leaving = self.leaving.borrow_mut();
+        for incarnation in observations.leaving.iter().filter(is_news) {
+            if leaving.insert(incarnation.clone()) {
+                self.leaving_added.wake();
+            }
+        }
     }
 
     /// Registers the sender of a poll in the background, unless it is known.
@@ -352,7 +371,7 @@
     /// Registers this VM and forwards observations to the leader, until the log stops.
     pub async fn run(self: Rc<Self>, own: Vm) {
         while !self.coordinator.log.is_stopped() {
-            monoio::time::sleep(OBSERVATION_INTERVAL).await;
+            self.leaving_added.wait(OBSERVATION_INTERVAL).await;
             let known = {
                 let store = self.coordinator.state.fleet.borrow();
                 store.vms().any(|v| *v == own)
@@ -363,6 +382,7 @@
             let observations = Observations {
                 loads: self.loads.borrow_mut().drain(),
                 latencies: self.latencies.take(),
+                leaving: self.leaving.take().into_iter().collect(),
             };
             match () {
                 () if observations.is_empty() => {}
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -115,12 +115,15 @@
     /// Latencies of key owners, relative to other servers of their service.
     #[serde(rename = "paces", default, skip_serializing_if = "Vec::is_empty")]
     pub latencies: Vec<RelativeLatency>,
+    /// Key owners whose responses say that they leave, until the sender sees them drain.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<Incarnation>,
 }
 
 impl Observations {
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
-        self.loads.is_empty() && self.latencies.is_empty()
+        self.loads.is_empty() && self.latencies.is_empty() && self.leaving.is_empty()
     }
 }
 
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -20,6 +20,10 @@
 /// Time from the end of a lease until the keys have a new owner, if failover is possible at all.
 const FAILOVER_MARGIN: Duration = Duration::from_millis(400);
 
+/// Share of the time that a server wants no requests by which callers' returns are spread, so that
+/// they don't all come back when it ends.
+const QUIET_SPREAD: f64 = 0.5;
+
 /// Attempts made for one request.
 #[derive(Default)]
 pub(super) struct Attempts {
@@ -32,15 +36,15 @@
     pub(super) timed_out: bool,
     /// Whether all rejections were for lack of capacity.
     pub(super) all_full: bool,
-    /// Why the key's owner couldn't take the request, if no backend server was found.
-    pub(super) unavailable: Option<OwnerUnavailable>,
+    /// Why no backend server was found that could take the request.
+    pub(super) unavailable: Option<Unavailable>,
     /// Failure response of a backend server, sent if no further attempt succeeds.
     pub(super) fallback: Option<BackendResponse>,
 }
 
-/// Why the owner of a key can't take a request.
+/// Why the owner of a key, or any backend server of a service, can't take a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum OwnerUnavailable {
+pub(super) enum Unavailable {
     /// The key is moving to another owner.
     Moving,
     /// The owner said that it doesn't hold the key.
@@ -57,6 +61,8 @@
     Full,
     /// The owner is overloaded; time until it may have capacity again.
     Overloaded(Duration),
+    /// The owner, or every server, asked for no requests; time until that ends.
+    Quiet(Duration),
 }
 
 impl Attempts {
@@ -73,18 +79,25 @@
                 may_have_run: true, ..
             } => LocalResponse::new(StatusCode::BAD_GATEWAY, "no whole answer"),
             Attempts {
-                unavailable: Some(OwnerUnavailable::Resting(after)),
+                unavailable: Some(Unavailable::Resting(after)),
                 ..
             } => LocalResponse::unavailable(
                 MOVE_RETRY_AFTER.max(*after),
                 "the holder can't be reached",
             ),
             Attempts {
-                unavailable: Some(OwnerUnavailable::Overloaded(after)),
+                unavailable: Some(Unavailable::Overloaded(after)),
                 ..
             } => LocalResponse::unavailable(FULL_RETRY_AFTER.max(*after), "the holder has no room"),
             Attempts {
-                unavailable: Some(OwnerUnavailable::NoOwners),
+                unavailable: Some(Unavailable::Quiet(after)),
+                ..
+            } => LocalResponse::unavailable(
+                after.mul_f64(1.0 + QUIET_SPREAD * fastrand::f64()),
+                "the server asked for no requests",
+            ),
+            Attempts {
+                unavailable: Some(Unavailable::NoOwners),
                 ..
             } => LocalResponse::unavailable(
                 UNREACHABLE_RETRY_AFTER,
@@ -111,12 +124,12 @@
     lease: Duration,
     now: Instant,
     until: Instant,
-) -> Result<OwnerUnavailable, OwnerUnavailable> {
+) -> Result<Unavailable, Unavailable> {
     let failover = backend
         .unreachable_since()
         .map(|since| since + lease + FAILOVER_MARGIN);
     match failover.map(|f| f.saturating_duration_since(now)) {
-        Some(after) if now + after <= until => Ok(OwnerUnavailable::Resting(after)),
-        after => Err(OwnerUnavailable::Resting(after.unwrap_or(MOVE_RETRY_AFTER))),
+        Some(after) if now + after <= until => Ok(Unavailable::Resting(after)),
+        after => Err(Unavailable::Resting(after.unwrap_or(MOVE_RETRY_AFTER))),
     }
 }
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -76,6 +76,9 @@
     unreachable_since: Cell<Option<Instant>>,
     overload_pause: Cell<Duration>,
     overloaded_until: Cell<Option<Instant>>,
+    /// When the server was first seen to leave.
+    leaving_since: Cell<Option<Instant>>,
+    quiet_until: Cell<Option<Instant>>,
 }
 
 impl Backend {
@@ -100,6 +103,8 @@
             unreachable_since: Cell::new(None),
             overload_pause: Cell::new(Duration::ZERO),
             overloaded_until: Cell::new(None),
+            leaving_since: Cell::new(None),
+            quiet_until: Cell::new(None),
         })
     }
 
@@ -240,6 +245,45 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// Records that a response of the server said that it leaves; true the first time.
+    ///
+    /// A server that leaves does not come back: the state belongs to one incarnation and lasts.
+    pub fn record_leaving(&self) -> bool {
+        let is_first = self.leaving_since.get().is_none();
+        if is_first {
+            self.leaving_since.set(Some(clock::now()));
+        }
+        is_first
+    }
+
+    /// Whether a response of the server said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.get().is_some()
+    }
+
+    /// Whether the server may get new requests, `drain` after it was first seen to leave at the
+    /// latest.
+    pub fn accepts_requests(&self, drain: Duration, now: Instant) -> bool {
+        let leaving_since = self.leaving_since.get();
+        self.is_ready() && leaving_since.is_none_or(|since| now < since + drain)
+    }
+
+    /// Records that the server asked for no requests for `duration`; true unless it had asked
+    /// before.
+    pub fn record_quiet(&self, duration: Duration) -> bool {
+        let now = clock::now();
+        let was_quiet = !self.quiet_for(now).is_zero();
+        self.quiet_until
+            .set(self.quiet_until.get().max(Some(now + duration)));
+        !was_quiet
+    }
+
+    /// Time for which the server still wants no requests.
+    pub fn quiet_for(&self, now: Instant) -> Duration {
+        let until = self.quiet_until.get();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Records a failed connection attempt.
     pub fn record_unreachable(&self) {
         self.idle.borrow_mut().clear();
--- a/src/gateway/control_poll.rs
+++ b/src/gateway/control_poll.rs
@@ -35,16 +35,17 @@
 /// Addresses of control VMs to start from.
 pub type Seeds = Rc<RefCell<Vec<SocketAddr>>>;
 
-/// Reports loads and latencies to the current control VM at intervals; never returns.
+/// Reports loads, latencies and servers that leave to the current control VM at intervals; never returns.
 async fn report_observations(gateway: Rc<Gateway>, current_peer: CurrentPeer) {
     loop {
-        monoio::time::sleep(OBSERVATION_INTERVAL).await;
+        gateway.noticed.wait(OBSERVATION_INTERVAL).await;
         let Some(peer) = current_peer.borrow().clone() else {
             continue;
         };
         let observations = Observations {
             loads: gateway.loads.borrow_mut().drain(),
             latencies: gateway.routing.borrow().take_latencies(),
+            leaving: gateway.routing.borrow().leaving_owners(),
         };
         if observations.is_empty() {
             continue;
@@ -53,7 +54,8 @@
             .call::<_, ()>(messages::OBSERVATIONS, &observations, RESPONSE_MARGIN)
             .await;
         if let Err(error) = sent {
-            // Loads and latencies are measured all the time, so a lost report is not sent again.
+            // Loads and latencies are measured all the time, and servers that leave are reported until
+            // they drain, so a lost report is not sent again.
             log::debug!("event=gateway.seen_lost error={:?}", error.to_string());
         }
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -62,6 +62,7 @@
         address: settings.peer,
         role: VmRole::Entry,
     };
+    gateway.drain.set(settings.drain);
     gateway.routing.borrow_mut().local_vm = Some(local_vm.clone());
     journal.record(Event::new("gateway.started").zone(&settings.zone));
     let polling = control_poll::run(
@@ -141,6 +142,7 @@
             journal.record(Event::new("gateway.reloaded"));
             *seeds.borrow_mut() = settings.seeds().collect();
             gateway.budget.borrow_mut().update(&settings.retries);
+            gateway.drain.set(settings.drain);
         }
         polls = polls.wrapping_add(1);
         if polls.is_multiple_of(POLLS_PER_SWEEP) {
@@ -168,10 +170,12 @@
     gateway.abort.stop();
     gateway.stop.wait_closed(left(total_grace)).await;
     let detail = format!(
-        "whole={finished} answered={} refused={} repeated={}",
+        "whole={finished} answered={} refused={} repeated={} leaving={} quiet={}",
         gateway.counters.answered.get(),
         gateway.counters.rejected.get(),
         gateway.counters.retried.get(),
+        gateway.counters.leaving.get(),
+        gateway.counters.quiet.get(),
     );
     journal.record(Event::new("gateway.stopped").detail(&detail));
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,9 +14,11 @@
 use monoio::net::TcpStream;
 use monoio::time;
 
+use super::Gateway;
 use super::backend::{Backend, InFlightGuard};
 use super::backend_connection::{BackendConnection, ConnectionUse};
-use super::head::{self, ForwardedHead, HeaderNames, ReportedLoad};
+use super::head::{self, ForwardedHead, ReportedLoad};
+use super::notices;
 use super::response::{self, BackendResponse, ResponseBody, StreamingBody};
 use crate::clock;
 use crate::web::connection::{BodyEvent, BodyReader, HeadLimits, HttpConnection, ResponseHead};
@@ -102,8 +104,8 @@
 /// Parameters of one attempt.
 #[derive(Debug)]
 pub struct Attempt<'a> {
-    /// Names of the headers to read and write.
-    pub header_names: &'a HeaderNames,
+    /// Gateway that sends the request.
+    pub gateway: &'a Gateway,
     /// Head of the request.
     pub head: &'a ForwardedHead,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
@@ -159,7 +161,7 @@
     let left = attempt.deadline.saturating_duration_since(clock::now());
     let server = backend.server();
     let mut head = attempt.head.encode(
-        attempt.header_names,
+        &attempt.gateway.header_names,
         &server.incarnation.server,
         left,
         length,
@@ -278,12 +280,16 @@
                 }
                 Err(reason) => return Outcome::Interrupted(reason),
             };
-        let response_id = parts.headers.get(&attempt.header_names.request_id);
+        notices::record_leaving(attempt.gateway, backend, &parts.headers);
+        let response_id = parts.headers.get(&attempt.gateway.header_names.request_id);
         let matches_request = match (response_id, &attempt.head.request_id) {
             (Some(response_id), Some(request_id)) => response_id == request_id,
             (None, Some(_)) => is_new_connection && mismatched == 0,
             (_, None) => is_new_connection,
         };
+        if matches_request && parts.status == StatusCode::SERVICE_UNAVAILABLE {
+            notices::record_quiet(attempt.gateway, backend, &parts.headers);
+        }
         let read = read_response_body(&mut connection.http, &mut body).await;
         if !matches_request {
             mismatched += 1;
@@ -299,7 +305,7 @@
         let reusable = fully_sent && mismatched == 0;
         if parts
             .headers
-            .contains_key(&attempt.header_names.not_executed)
+            .contains_key(&attempt.gateway.header_names.not_executed)
         {
             return_to_pool(
                 backend,
@@ -311,7 +317,10 @@
             );
             return match parts.status {
                 StatusCode::MISDIRECTED_REQUEST => Outcome::Misdirected,
-                _ => Outcome::Full(head::reported_load(&parts.headers, attempt.header_names)),
+                _ => Outcome::Full(head::reported_load(
+                    &parts.headers,
+                    &attempt.gateway.header_names,
+                )),
             };
         }
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
@@ -319,7 +328,7 @@
         }
         let signed = parts
             .headers
-            .contains_key(&attempt.header_names.server_signature);
+            .contains_key(&attempt.gateway.header_names.server_signature);
         let encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
         if parts.status.is_success() && (!signed || encoded) {
             return Outcome::Interrupted("its answer is not its own");
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -24,6 +24,8 @@
     pub server_signature: HeaderName,
     /// Marks a response to a request that was not run.
     pub not_executed: HeaderName,
+    /// Marks the responses of a backend server that leaves.
+    pub server_leaving: HeaderName,
     /// Running and waiting requests and slots of a backend server.
     pub server_load: HeaderName,
     /// Key of a request.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod daemon;
 pub mod exchange;
 pub mod head;
+pub mod notices;
 pub mod request;
 pub mod response;
 mod response_writer;
@@ -34,7 +35,7 @@
 use crate::fleet::load::LoadCounts;
 use crate::ids;
 use crate::notify::Notify;
-use crate::settings::fleet::Retries;
+use crate::settings::fleet::{DEFAULT_DRAIN, Retries};
 use crate::web::StopHandle;
 
 pub use head::HeaderNames;
@@ -51,6 +52,10 @@
     pub changed: Notify,
     /// Retry budgets of the services.
     pub budget: RefCell<budget::RetryBudget>,
+    /// Woken when a backend server is first seen to leave.
+    pub noticed: Notify,
+    /// How long a server that leaves may still get requests.
+    pub drain: Cell<Duration>,
     /// Requests per key that were not yet reported to the control VMs.
     pub loads: RefCell<LoadCounts>,
     /// Asks caller connections to close.
@@ -72,6 +77,10 @@
     pub rejected: Cell<u64>,
     /// Retries sent.
     pub retried: Cell<u64>,
+    /// Backend servers first seen to leave in a response.
+    pub leaving: Cell<u64>,
+    /// Times that a backend server began to want no requests.
+    pub quiet: Cell<u64>,
 }
 
 impl Gateway {
@@ -83,6 +92,8 @@
             routing: RefCell::default(),
             changed: Notify::default(),
             budget: RefCell::new(budget::RetryBudget::new(retries)),
+            noticed: Notify::default(),
+            drain: Cell::new(DEFAULT_DRAIN),
             loads: RefCell::default(),
             stop: StopHandle::default(),
             abort: StopHandle::default(),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header, request, uri};
 
-use super::attempts::{self, Attempts, OwnerUnavailable};
+use super::attempts::{self, Attempts, Unavailable};
 use super::backend::Backend;
 use super::backend_connection::ConnectionUse;
 use super::budget::RetryRequest;
@@ -181,7 +181,7 @@
             .max_connections;
         Attempt {
             max_connections,
-            header_names: &self.gateway.header_names,
+            gateway: &self.gateway,
             head: &self.head,
             deadline: self.deadline,
             max_idle: match self.route.idempotency {
@@ -340,37 +340,39 @@
     async fn select_backend(
         &self,
         attempts: &Attempts,
-    ) -> Result<Rc<Backend>, Option<OwnerUnavailable>> {
+    ) -> Result<Rc<Backend>, Option<Unavailable>> {
         match self.key {
             Some(key) => self.await_owner(key, attempts).await.map_err(Some),
-            None => self.await_capacity(attempts).await.ok_or(None),
+            None => self.await_capacity(attempts).await,
         }
     }
 
-    async fn await_capacity(&self, attempts: &Attempts) -> Option<Rc<Backend>> {
+    async fn await_capacity(
+        &self,
+        attempts: &Attempts,
+    ) -> Result<Rc<Backend>, Option<Unavailable>> {
         let until = self.arrived_at + self.route.latency_target.mul_f64(CAPACITY_WAIT_RATIO);
         loop {
-            let selected = {
+            {
                 let routing = self.gateway.routing.borrow();
                 let backends = routing.backends(&self.service);
-                selection::select_backend(
-                    backends,
-                    &attempts.tried,
-                    &self.selection_context(&routing),
-                )
-            };
-            if selected.is_some() || clock::now() >= until.min(self.deadline) {
-                return selected;
+                let context = self.selection_context(&routing);
+                let selected = selection::select_backend(backends, &attempts.tried, &context);
+                if let Some(selected) = selected {
+                    return Ok(selected);
+                }
+                if let Some(after) = selection::all_quiet_for(backends, &context) {
+                    return Err(Some(Unavailable::Quiet(after)));
+                }
+            }
+            if clock::now() >= until.min(self.deadline) {
+                return Err(None);
             }
             monoio::time::sleep(CAPACITY_POLL_INTERVAL).await;
         }
     }
 
-    async fn await_owner(
-        &self,
-        key: Key,
-        attempts: &Attempts,
-    ) -> Result<Rc<Backend>, OwnerUnavailable> {
+    async fn await_owner(&self, key: Key, attempts: &Attempts) -> Result<Rc<Backend>, Unavailable> {
         let wait = self
             .route
             .latency_target
@@ -387,32 +389,37 @@
                 let missed_until = routing.missed_until(&self.service, key);
                 match routing.owner(&self.service, key) {
                     KeyOwner::Backend(_) if missed_until.is_some_and(|at| at > now.max(until)) => {
-                        return Err(OwnerUnavailable::Missed);
+                        return Err(Unavailable::Missed);
                     }
                     KeyOwner::Backend(_) if missed_until.is_some_and(|at| at > now) => {
-                        OwnerUnavailable::Missed
+                        Unavailable::Missed
                     }
                     KeyOwner::Backend(b) if b.is_backing_off(now) => {
                         attempts::await_failover(&b, routing.lease(&self.service), now, until)?
                     }
-                    KeyOwner::Backend(b) if !b.is_ready() => OwnerUnavailable::NotReady,
+                    KeyOwner::Backend(b) if !b.accepts_requests(self.gateway.drain.get(), now) => {
+                        Unavailable::NotReady
+                    }
+                    KeyOwner::Backend(b) if !b.quiet_for(now).is_zero() => {
+                        return Err(Unavailable::Quiet(b.quiet_for(now)));
+                    }
                     KeyOwner::Backend(b)
                         if !b.overloaded_for(now).is_zero()
                             && now + b.overloaded_for(now) > until =>
                     {
-                        return Err(OwnerUnavailable::Overloaded(b.overloaded_for(now)));
+                        return Err(Unavailable::Overloaded(b.overloaded_for(now)));
                     }
                     KeyOwner::Backend(b)
                         if selection::has_capacity(&b, &self.selection_context(&routing)) =>
                     {
                         return Ok(b);
                     }
-                    KeyOwner::Backend(_) => OwnerUnavailable::Full,
-                    KeyOwner::Moving => OwnerUnavailable::Moving,
+                    KeyOwner::Backend(_) => Unavailable::Full,
+                    KeyOwner::Moving => Unavailable::Moving,
                     KeyOwner::Unknown if !routing.has_owners(&self.service) => {
-                        return Err(OwnerUnavailable::NoOwners);
+                        return Err(Unavailable::NoOwners);
                     }
-                    KeyOwner::Unknown => OwnerUnavailable::Nobody,
+                    KeyOwner::Unknown => Unavailable::Nobody,
                 }
             };
             let left = until.min(self.deadline).saturating_duration_since(now);
@@ -433,6 +440,7 @@
         SelectionContext {
             zone: &self.gateway.zone,
             max_connections: (limit / routing.entry_vm_count()).max(MIN_CONNECTIONS),
+            drain: self.gateway.drain.get(),
             now: clock::now(),
         }
     }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -10,7 +10,7 @@
 use crate::fleet::leases;
 use crate::fleet::messages::RelativeLatency;
 use crate::fleet::updates::{RangeOwner, Updates};
-use crate::fleet::{Key, Server, ServerState, Vm, VmRole};
+use crate::fleet::{Incarnation, Key, Server, ServerState, Vm, VmRole};
 use crate::ids;
 use crate::table;
 
@@ -158,6 +158,15 @@
             .collect()
     }
 
+    /// Owners of keys whose responses say that they leave and that the control VMs don't know to.
+    pub fn leaving_owners(&self) -> Vec<Incarnation> {
+        let services = self.key_ranges.keys().map(|s| self.backends(s));
+        let leaving = services
+            .flatten()
+            .filter(|b| b.is_leaving() && b.is_ready());
+        leaving.map(|b| b.server().incarnation.clone()).collect()
+    }
+
     /// Returns the owner of a key of a service.
     pub fn owner(&self, service: &str, key: Key) -> KeyOwner {
         let key_range = self.range(service, key);
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -40,34 +40,51 @@
     pub zone: &'a str,
     /// Limit of this VM's requests in flight at one backend server.
     pub max_connections: u32,
+    /// How long a server that leaves may still get requests.
+    pub drain: Duration,
     /// Current time.
     pub now: Instant,
 }
 
 /// Selects the backend server with the lowest expected cost that is not in `tried`.
 ///
-/// Servers that are backing off or unresponsive are selected only if all ready ones are.
+/// Servers that are backing off or unresponsive are selected only if all ready ones are, and
+/// servers that leave only if no other one can take the request.
 pub fn select_backend(
     backends: &[Rc<Backend>],
     tried: &[Rc<Backend>],
     context: &SelectionContext<'_>,
 ) -> Option<Rc<Backend>> {
     let untried = |b: &&Rc<Backend>| !tried.iter().any(|t| Rc::ptr_eq(t, b));
-    let available = |b: &&Rc<Backend>| b.is_ready() && has_capacity(b, context);
+    let accepts = |b: &&Rc<Backend>| b.accepts_requests(context.drain, context.now);
+    let available = |b: &&Rc<Backend>| accepts(b) && has_capacity(b, context);
+    let stays = |b: &&Rc<Backend>| !b.is_leaving();
     let responsive =
         |b: &&Rc<Backend>| !b.is_backing_off(context.now) && b.silence(context.now) < MAX_SILENCE;
     let usable = || backends.iter().filter(untried).filter(available);
-    if backends.iter().any(|b| b.is_ready() && responsive(&b)) {
-        min_by_cost(usable().filter(responsive), context)
+    if backends.iter().any(|b| accepts(&b) && responsive(&b)) {
+        let usable = || usable().filter(responsive);
+        min_by_cost(usable().filter(stays), context).or_else(|| min_by_cost(usable(), context))
     } else {
-        min_by_cost(usable(), context)
+        min_by_cost(usable().filter(stays), context).or_else(|| min_by_cost(usable(), context))
     }
 }
 
+/// Time until the first of the backend servers wants requests again; `None` if one of them does
+/// now, or none accepts requests at all.
+pub fn all_quiet_for(backends: &[Rc<Backend>], context: &SelectionContext<'_>) -> Option<Duration> {
+    let accepting = backends
+        .iter()
+        .filter(|b| b.accepts_requests(context.drain, context.now));
+    let first = accepting.map(|b| b.quiet_for(context.now)).min();
+    first.filter(|first| !first.is_zero())
+}
+
 /// Whether a backend server can take another request.
 pub fn has_capacity(backend: &Backend, context: &SelectionContext<'_>) -> bool {
     let slots = f64::from(backend.server().slots.max(1));
     backend.overloaded_for(context.now).is_zero()
+        && backend.quiet_for(context.now).is_zero()
         && backend.in_flight() < context.max_connections
         && backend.load(context.now) < slots * MAX_REQUESTS_PER_SLOT
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod head;
 mod mock;
+mod notices;
 mod requests;
 mod routing;
 mod selection;
@@ -27,6 +28,7 @@
         expected_server: HeaderName::from_static("x-expected"),
         server_signature: HeaderName::from_static("x-signature"),
         not_executed: HeaderName::from_static("x-refused"),
+        server_leaving: HeaderName::from_static("x-leaving"),
         server_load: HeaderName::from_static("x-load"),
         shard_key: HeaderName::from_static("x-key"),
     }
--- a/src/gateway/tests/selection.rs
+++ b/src/gateway/tests/selection.rs
@@ -27,6 +27,7 @@
     SelectionContext {
         zone: "near",
         max_connections: 100,
+        drain: Duration::from_secs(2),
         now: clock::now(),
     }
 }
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -22,6 +22,9 @@
 /// time for which other processes keep using the previous seeds.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Default of [`EntrySettings::drain`].
+pub const DEFAULT_DRAIN: Duration = Duration::from_secs(2);
+
 /// Settings of a control VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlSettings {
@@ -67,11 +70,18 @@
     /// Time from the stop signal until the process is killed.
     #[serde(with = "clock::text")]
     pub grace: Duration,
+    /// How long a backend server that leaves may still get requests.
+    #[serde(with = "clock::text", default = "default_drain")]
+    pub drain: Duration,
     /// Log level and log file.
     #[serde(default)]
     pub log: Logging,
 }
 
+fn default_drain() -> Duration {
+    DEFAULT_DRAIN
+}
+
 /// Retry budget of each service, for all entry VMs together.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Retries {
