Proxy: owners that leave or ask for quiet, on the document interface

Change, leaving: agateyoke-leaving: 1 in any answer marks the incarnation; the entry VM names it in its pulls of routes as long as it owns a span, and the primary moves its spans as if its heartbeat had said draining. Change, quiet: a 503 refusal with Retry-After keeps requests away; callers get 503 at once with what is left and up to half more. The parser is shared with the fleets (web::retry_after). The example server learns both (faults leaving and quiet_s). Tests: entry::proxy::tests::notices (with notices not recorded, a trial, both fail), grant::tests::server_seen_leaving_by_an_entry_vm_loses_all_spans, two with real processes in tests/leaving.rs.

--- a/benches/slopes/granter.rs
+++ b/benches/slopes/granter.rs
@@ -146,6 +146,7 @@
         votes: false,
         max_wait: timing::LONG_POLL_TIMEOUT,
         loads: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/examples/backend/faults.rs
+++ b/examples/backend/faults.rs
@@ -3,8 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use agateyoke::clock;
 use serde::{Deserialize, Serialize};
 
 /// Path of the control requests.
@@ -35,6 +36,10 @@
     lose_state: Option<bool>,
     /// Sends no heartbeats.
     mute: Option<bool>,
+    /// Says in each response that the server leaves; heartbeats don't tell.
+    leaving: Option<bool>,
+    /// Sheds every request for this number of seconds, and asks for no requests until then.
+    quiet_s: Option<u64>,
 }
 
 /// Active faults.
@@ -45,6 +50,8 @@
     pub(crate) shed: Cell<bool>,
     pub(crate) fail: Cell<bool>,
     pub(crate) mute: Cell<bool>,
+    pub(crate) leaving: Cell<bool>,
+    quiet_until: Cell<Option<Instant>>,
     lose_half: Cell<bool>,
     is_odd_request: Cell<bool>,
     connections: RefCell<HashSet<SocketAddr>>,
@@ -59,6 +66,11 @@
         set(&self.shed, change.shed);
         set(&self.fail, change.fail);
         set(&self.mute, change.mute);
+        set(&self.leaving, change.leaving);
+        if let Some(seconds) = change.quiet_s {
+            let until = clock::now() + Duration::from_secs(seconds);
+            self.quiet_until.set(Some(until));
+        }
         if let Some(delay_ms) = change.slow_ms {
             self.delay.set(Duration::from_millis(delay_ms));
         }
@@ -76,6 +88,13 @@
         change.lose_state == Some(true)
     }
 
+    /// Time for which the server wants no requests, if any.
+    pub(crate) fn quiet_for(&self) -> Option<Duration> {
+        let until = self.quiet_until.get()?;
+        let left = until.saturating_duration_since(clock::now());
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Records a connection; returns whether it is silenced.
     pub(crate) fn is_silenced(&self, caller: Option<SocketAddr>) -> bool {
         let Some(caller) = caller else { return false };
--- a/examples/backend/server.rs
+++ b/examples/backend/server.rs
@@ -12,7 +12,8 @@
 use agateyoke::web::{Caller, json};
 use agateyoke::{clock, ids, keys};
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use local_sync::semaphore::Semaphore;
 use monoio::time;
 use serde::Serialize;
@@ -26,6 +27,9 @@
 /// Timeout of requests without a deadline; also the wait in place of a response that a fault drops.
 const NO_DEADLINE_TIMEOUT: Duration = Duration::from_hours(1);
 
+/// Marks the responses of a server that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("agateyoke-leaving");
+
 /// State of the server.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -115,8 +119,17 @@
         if self.faults.is_silenced(caller.and_then(|c| c.address)) {
             time::sleep(NO_DEADLINE_TIMEOUT).await;
         }
+        let mut response = self.respond(&request, caller).await;
+        let headers = response.headers_mut();
+        if self.faults.leaving.get() {
+            headers.insert(LEAVING, HeaderValue::from_static("1"));
+        }
+        response
+    }
+
+    async fn respond(&self, request: &http::Request<Bytes>, caller: Option<Caller>) -> Response {
         let headers = RouterHeaders::read(request.headers());
-        match self.run(&headers, &request, caller).await {
+        match self.run(&headers, request, caller).await {
             Ok(_) if self.faults.drops_response() => {
                 time::sleep(NO_DEADLINE_TIMEOUT).await;
                 json::response(StatusCode::INTERNAL_SERVER_ERROR, &"lost")
@@ -132,7 +145,12 @@
                 };
                 // A failed write only lowers a count; the response matters more.
                 let _ = self.refusals.borrow_mut().append(&refusal);
-                reason.response()
+                let mut response = reason.response();
+                if let Some(left) = self.faults.quiet_for() {
+                    let seconds = HeaderValue::from(left.as_secs() + 1);
+                    response.headers_mut().insert(RETRY_AFTER, seconds);
+                }
+                response
             }
         }
     }
@@ -176,7 +194,9 @@
     fn check(&self, headers: &RouterHeaders) -> Result<(), RefusalReason> {
         match (headers.hash, headers.fence) {
             _ if self.drained.get() => Err(RefusalReason::Drain),
-            _ if self.faults.shed.get() => Err(RefusalReason::Shed),
+            _ if self.faults.shed.get() || self.faults.quiet_for().is_some() => {
+                Err(RefusalReason::Shed)
+            }
             _ if !self.options.checks => Ok(()),
             (Some(hash), Some(fence)) => self.lease.borrow_mut().check(hash, fence, clock::now()),
             _ => Err(RefusalReason::Fence),
--- a/src/delegate/tests/simulation.rs
+++ b/src/delegate/tests/simulation.rs
@@ -575,6 +575,7 @@
             votes,
             max_wait: Duration::ZERO,
             loads: Vec::new(),
+            leaving: Vec::new(),
         };
         let to = self.vm(&delegation.primary);
         self.send(Message::Pull(i, to, request));
--- a/src/entry/proxy/forward.rs
+++ b/src/entry/proxy/forward.rs
@@ -32,6 +32,9 @@
 /// Age of a request from which the connection of its caller is checked before sending.
 const DISCONNECT_CHECK_DELAY: Duration = Duration::from_millis(5);
 
+/// Share of the time that an owner wants no requests by which callers' returns are spread.
+const QUIET_SPREAD: f64 = 0.5;
+
 /// Longest time for which a claim keeps its permit while its record is created.
 const CLAIM_PERMIT_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -98,6 +101,11 @@
                 _ => deadline_exceeded(),
             });
         };
+        let quiet_for = self.notices.quiet_for(&owner, clock::now());
+        if !quiet_for.is_zero() {
+            let after = quiet_for.mul_f64(1.0 + QUIET_SPREAD * fastrand::f64());
+            return ProxyResponse::retry_later(after, "the owner asked for no requests").into();
+        }
         let mut permit = match self.acquire_permit(request, &owner).await {
             Ok(permit) => permit,
             Err(response) => return NextStep::Respond(response),
@@ -198,8 +206,10 @@
             let now = clock::now();
             match table.lookup(&request.service.name, request.hash, now) {
                 _ if now >= request.deadline => return None,
-                Lookup::Owner(owner) => return Some(owner),
-                Lookup::Unrouted | Lookup::UnknownService => {
+                Lookup::Owner(owner) if self.notices.accepts_requests(&owner, now) => {
+                    return Some(owner);
+                }
+                Lookup::Owner(_) | Lookup::Unrouted | Lookup::UnknownService => {
                     table.changed().wait(request.time_left()).await
                 }
             };
--- a/src/entry/proxy/headers.rs
+++ b/src/entry/proxy/headers.rs
@@ -35,6 +35,9 @@
 /// Marks a response that is the recorded outcome of an earlier attempt.
 pub const REPLAY: HeaderName = HeaderName::from_static("agateyoke-replay");
 
+/// Marks the responses of a backend server that leaves.
+pub const LEAVING: HeaderName = HeaderName::from_static("agateyoke-leaving");
+
 /// Reason why an owner refused a request before running it.
 pub const REFUSED: HeaderName = HeaderName::from_static("agateyoke-refused");
 
@@ -53,8 +56,8 @@
 const PROXY_REQUEST_HEADERS: [HeaderName; 5] = [FENCE, HASH, DEADLINE, REQUEST, CLAIM];
 
 /// Headers of responses to callers that only the proxy may set.
-const PROXY_RESPONSE_HEADERS: [HeaderName; 8] = [
-    VERDICT, SERVER, FENCE, ZONE, REQUEST, CLAIM, REPLAY, REFUSED,
+const PROXY_RESPONSE_HEADERS: [HeaderName; 9] = [
+    VERDICT, SERVER, FENCE, ZONE, REQUEST, CLAIM, REPLAY, LEAVING, REFUSED,
 ];
 
 /// Name of the header in which a caller sent the id of its claim.
--- a/src/entry/proxy/mod.rs
+++ b/src/entry/proxy/mod.rs
@@ -10,6 +10,7 @@
 pub mod claims;
 pub mod forward;
 pub mod headers;
+mod notices;
 pub mod request;
 pub mod response;
 pub mod send;
@@ -88,6 +89,7 @@
     context: ProxyContext,
     services: ServiceCache,
     client: Client,
+    notices: notices::Notices,
     /// Random per process, so that ids of requests differ between processes.
     id_prefix: u32,
     request_count: Cell<u64>,
@@ -101,6 +103,7 @@
                 services: ServiceCache::new(Rc::clone(&context.view)),
                 context,
                 client: Client::with_closing_header(MAX_RESPONSE_BYTES, Some(headers::REFUSED)),
+                notices: notices::Notices::default(),
                 id_prefix: fastrand::u32(..),
                 request_count: Cell::default(),
             }),
@@ -136,11 +139,12 @@
         response.into_http(&id)
     }
 
-    /// Drops the limiters of backend servers for which `is_known` is false.
+    /// Drops the limiters and old notices of backend servers for which `is_known` is false.
     pub fn retain_servers<F>(&self, is_known: F)
     where
         F: Fn(&ids::Incarnation) -> bool,
     {
+        self.inner.notices.prune(&is_known, clock::now());
         self.inner.context.limiters.retain(is_known);
     }
 }
--- a/src/entry/proxy/send.rs
+++ b/src/entry/proxy/send.rs
@@ -147,7 +147,13 @@
             .send(owner.server.address, outgoing, options)
             .await
         {
-            Ok(response) => classify(response),
+            Ok(response) => {
+                if self.notices.record(owner, &response, clock::now()) {
+                    let table = &self.context.table;
+                    table.record_leaving(&request.service.name, owner);
+                }
+                classify(response)
+            }
             Err(SendError::NotSent(_)) => SendOutcome::NotSent,
             Err(SendError::MayHaveRun(_)) => SendOutcome::ConnectionLost,
             Err(SendError::TimedOut) => SendOutcome::TimedOut,
--- a/src/entry/proxy/tests/fixture.rs
+++ b/src/entry/proxy/tests/fixture.rs
@@ -52,6 +52,10 @@
     pub(super) requests: Rc<RefCell<Vec<(String, HeaderMap)>>>,
     /// Number of requests that were refused.
     pub(super) refused: Rc<Cell<usize>>,
+    /// Whether responses say that the owner leaves.
+    pub(super) leaving: Rc<Cell<bool>>,
+    /// Seconds for which refusals ask for no requests.
+    pub(super) retry_after: Rc<Cell<Option<u64>>>,
 }
 
 impl FakeOwner {
@@ -63,6 +67,8 @@
             behavior: Rc::new(Cell::new(Behavior::Respond)),
             requests: Rc::default(),
             refused: Rc::default(),
+            leaving: Rc::default(),
+            retry_after: Rc::default(),
         };
         (listener, owner)
     }
@@ -134,11 +140,13 @@
         let behavior = self.behavior.get();
         if let Behavior::Refuse(status, reason) = behavior {
             self.refused.set(self.refused.get() + 1);
-            return Response::builder()
+            let mut response = Response::builder()
                 .status(status)
-                .header("agateyoke-refused", reason)
-                .body(Bytes::new())
-                .unwrap();
+                .header("agateyoke-refused", reason);
+            if let Some(seconds) = self.retry_after.get() {
+                response = response.header("retry-after", seconds);
+            }
+            return response.body(Bytes::new()).unwrap();
         }
         let path = request.uri().to_string();
         self.requests
@@ -149,7 +157,11 @@
             Behavior::Slow(ms) => time::sleep(Duration::from_millis(ms)).await,
             Behavior::Respond | Behavior::Refuse(..) => {}
         }
-        Response::builder()
+        let mut response = Response::builder();
+        if self.leaving.get() {
+            response = response.header("agateyoke-leaving", "1");
+        }
+        response
             .header("x-own", "kept")
             .header("agateyoke-verdict", "made up")
             .header("keep-alive", "timeout=1")
--- a/src/entry/proxy/tests/mod.rs
+++ b/src/entry/proxy/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod claims;
 mod fixture;
+mod notices;
 mod requests;
 mod responses;
 mod retries;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,7 +17,7 @@
 pub mod daemon;
 pub mod exchange;
 pub mod head;
-pub mod notices;
+mod notices;
 pub mod request;
 pub mod response;
 mod response_writer;
--- a/src/gateway/tests/notices.rs
+++ b/src/gateway/tests/notices.rs
@@ -15,9 +15,9 @@
 use crate::fleet::updates::Updates;
 use crate::fleet::{Incarnation, Server, ServerState};
 use crate::gateway::backend::Backend;
-use crate::gateway::notices::{MAX_QUIET, quiet_duration};
 use crate::gateway::selection::{self, SelectionContext};
 use crate::runtime;
+use crate::web::retry_after::{self, MAX_QUIET};
 
 const OK: Action =
     Action::Send("HTTP/1.1 200 OK\nx-request: ID\nx-signature: s\ncontent-length: 2\n\nok");
@@ -272,12 +272,12 @@
     });
 }
 
-fn retry_after(values: &[&'static str]) -> Option<Duration> {
+fn parsed(values: &[&'static str]) -> Option<Duration> {
     let mut headers = HeaderMap::new();
     for value in values {
         headers.append(names::RETRY_AFTER, HeaderValue::from_static(value));
     }
-    quiet_duration(&headers)
+    retry_after::parse(&headers)
 }
 
 /// Guards against a server that one bad value silences for good.
@@ -298,16 +298,13 @@
         "1, 2",
         "Wed, 21 Oct 2026 07:28:00 GMT",
     ] {
-        assert_eq!(retry_after(&[value]), None, "{value:?}");
+        assert_eq!(parsed(&[value]), None, "{value:?}");
     }
-    assert_eq!(retry_after(&["2"]), Some(Duration::from_secs(2)));
-    assert_eq!(retry_after(&[" 1.5 "]), Some(Duration::from_millis(1500)));
-    assert_eq!(
-        retry_after(&["1", "x", "4", "2"]),
-        Some(Duration::from_secs(4))
-    );
+    assert_eq!(parsed(&["2"]), Some(Duration::from_secs(2)));
+    assert_eq!(parsed(&[" 1.5 "]), Some(Duration::from_millis(1500)));
+    assert_eq!(parsed(&["1", "x", "4", "2"]), Some(Duration::from_secs(4)));
     for huge in ["61", "99999999999999999999999999999999999999999999"] {
-        assert_eq!(retry_after(&[huge]), Some(MAX_QUIET), "{huge:?}");
+        assert_eq!(parsed(&[huge]), Some(MAX_QUIET), "{huge:?}");
     }
 }
 
--- a/src/grant/map.rs
+++ b/src/grant/map.rs
@@ -14,6 +14,7 @@
         let known_epoch = self.epochs.contains(&request.map_epoch);
         let vm = ids::VmName::clone(&request.vm);
         self.record_loads(&request.loads);
+        self.record_leaving(&request.leaving);
         let entry = self.subscribers.entry(vm);
         let subscriber = entry.or_insert_with(|| Subscriber::new(now));
         if known_epoch && request.version <= self.version {
--- a/src/grant/moves.rs
+++ b/src/grant/moves.rs
@@ -182,6 +182,16 @@
         }
     }
 
+    /// Records servers that leave, as entry VMs saw in their responses.
+    pub(super) fn record_leaving(&mut self, leaving: &[ids::Incarnation]) {
+        for server in self.servers.values_mut() {
+            let incarnation = &server.info.incarnation;
+            if leaving.contains(incarnation) {
+                server.seen_leaving = Some(ids::Incarnation::clone(incarnation));
+            }
+        }
+    }
+
     /// Starts or stops draining a server on an operator's behalf.
     pub(super) fn set_draining(&mut self, name: &str, on: bool) {
         if let Some(server) = self.servers.get_mut(name) {
--- a/src/grant/server.rs
+++ b/src/grant/server.rs
@@ -32,6 +32,8 @@
     pub(super) alive: bool,
     /// Whether the server reported that it is leaving.
     pub(super) leaving: bool,
+    /// Incarnation that entry VMs saw leaving in a response.
+    pub(super) seen_leaving: Option<ids::Incarnation>,
     /// Whether an operator drains the server.
     pub(super) operator_drain: bool,
     /// Requests in progress and queued, as the server reported.
@@ -68,6 +70,7 @@
             lease_end,
             alive: true,
             leaving: false,
+            seen_leaving: None,
             operator_drain: false,
             outstanding_requests: 0,
             health: 1.0,
@@ -127,13 +130,14 @@
     }
 
     /// Whether the server may be granted spans.
-    pub(super) const fn is_assignable(&self) -> bool {
+    pub(super) fn is_assignable(&self) -> bool {
         self.alive && !self.is_draining()
     }
 
     /// Whether the server's spans are to be moved to other servers.
-    pub(super) const fn is_draining(&self) -> bool {
-        self.leaving || self.operator_drain
+    pub(super) fn is_draining(&self) -> bool {
+        let seen_leaving = self.seen_leaving.as_ref() == Some(&self.info.incarnation);
+        self.leaving || seen_leaving || self.operator_drain
     }
 
     /// Number of moves that must start now so that all of them start within `time`.
--- a/src/grant/tests.rs
+++ b/src/grant/tests.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::delegate::messages;
 use crate::keys::Span;
+use crate::route::PullRequest;
 use crate::runtime;
 use arbtest::arbitrary::{Result, Unstructured};
 use fixture::{
@@ -133,6 +134,33 @@
     assert_eq!((held, granter.overview().unrouted.len()), (16, 0));
 }
 
+/// Guards against spans that stay with a server which says only in its responses that it leaves.
+#[test]
+fn server_seen_leaving_by_an_entry_vm_loses_all_spans() {
+    let (granter, mut now) = (granter(), clock::now());
+    let mut servers: Vec<LeaseRequest> = ["a", "b", "c"].map(|s| heartbeat(s, true)).into();
+    run_heartbeats(&granter, &mut now, &mut servers, SECOND);
+    let report = |incarnation: &str| PullRequest {
+        leaving: vec![incarnation.into()],
+        ..pull_request("vm", None)
+    };
+    servers[0].incarnation = "second".into();
+    run_heartbeats(&granter, &mut now, &mut servers, SECOND * 20);
+    granter
+        .record_pull(now, &report("of another server"))
+        .unwrap();
+    run_heartbeats(&granter, &mut now, &mut servers, SECOND * 4);
+    assert!(!servers[0].held_grants.is_empty());
+    granter.record_pull(now, &report("second")).unwrap();
+    run_heartbeats(&granter, &mut now, &mut servers, SECOND * 4);
+    assert!(servers[0].held_grants.is_empty());
+    assert!(!servers[1].held_grants.is_empty());
+    servers[0].incarnation = "third".into();
+    servers[0].sequence = 0;
+    run_heartbeats(&granter, &mut now, &mut servers, SECOND * 30);
+    assert!(!servers[0].held_grants.is_empty());
+}
+
 #[test]
 fn server_gets_spans_again_after_an_operator_ends_the_drain() {
     let (granter, mut now) = (granter(), clock::now());
--- a/src/grant/tests/fixture.rs
+++ b/src/grant/tests/fixture.rs
@@ -125,6 +125,7 @@
         votes: false,
         max_wait: Duration::from_secs(5),
         loads: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/src/route/messages.rs
+++ b/src/route/messages.rs
@@ -63,6 +63,9 @@
     pub max_wait: Duration,
     /// Requests sent to each span since the last pull request, for placement.
     pub loads: Vec<SpanLoad>,
+    /// Servers that leave, as their responses say, as long as they own a span.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<ids::Incarnation>,
 }
 
 /// Load that one entry VM sent to a span since its last pull request.
--- a/src/route/pull.rs
+++ b/src/route/pull.rs
@@ -155,6 +155,7 @@
 
     fn next_request(&self, target: &Target) -> Option<PullRequest> {
         let loads = self.table.take_loads(&self.service, &self.zone);
+        let leaving = self.table.leaving(&self.service, &self.zone);
         let last_response = self.last_response.get().filter(|(e, _)| *e == target.epoch);
         let has_responded = last_response.is_some();
         self.table
@@ -169,6 +170,7 @@
                 votes: target.votes && has_responded,
                 max_wait: timing::LONG_POLL_TIMEOUT,
                 loads,
+                leaving,
             })
     }
 }
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -56,6 +56,8 @@
 struct ZoneRoutes {
     map: Map,
     loads: LoadCounter,
+    /// Owners whose responses said that they leave.
+    leaving: HashSet<ids::Incarnation>,
 }
 
 impl Table {
@@ -84,6 +86,29 @@
         }
     }
 
+    /// Records that a response of an owner said that it leaves.
+    pub fn record_leaving(&self, service: &str, owner: &Owner) {
+        let mut services = self.inner.services.borrow_mut();
+        let zones = services.get_mut(service);
+        if let Some(zone) = zones.and_then(|zones| zones.get_mut(&owner.zone)) {
+            zone.leaving
+                .insert(ids::Incarnation::clone(&owner.server.incarnation));
+        }
+    }
+
+    /// Servers of a service in a zone that leave and still own a span.
+    pub fn leaving(&self, service: &str, zone: &str) -> Vec<ids::Incarnation> {
+        let services = self.inner.services.borrow();
+        let zone = services.get(service).and_then(|zones| zones.get(zone));
+        let Some(zone) = zone.filter(|zone| !zone.leaving.is_empty()) else {
+            return Vec::new();
+        };
+        let owners = zone.map.routes().filter_map(|r| zone.map.owner(r));
+        let owners: HashSet<_> = owners.map(|s| &s.incarnation).collect();
+        let leaving = zone.leaving.iter().filter(|i| owners.contains(i));
+        leaving.cloned().collect()
+    }
+
     /// Wakes waiting tasks when any route changes.
     pub fn changed(&self) -> &Notify {
         &self.inner.changed
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -14,6 +14,7 @@
 pub mod limits;
 pub mod pool;
 pub mod race;
+pub mod retry_after;
 
 pub mod connection;
 pub mod server;
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -8,8 +8,10 @@
 
 mod support;
 
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
 use std::thread;
+use std::time::{Duration, Instant};
 
 use support::{Cluster, Load, cluster, load};
 
@@ -55,6 +57,64 @@
     cluster.assert_fences_never_decrease();
 }
 
+/// Injects faults into a backend server.
+fn inject_faults(cluster: &Cluster, port: u16, faults: &str) {
+    let mut stream = TcpStream::connect(cluster.address(port)).unwrap();
+    let length = faults.len();
+    let head = "POST /_stand-in HTTP/1.1\r\nhost: x\r\nconnection: close";
+    write!(stream, "{head}\r\ncontent-length: {length}\r\n\r\n{faults}").unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
+
+/// A server says in its responses that it leaves, and nothing in its heartbeats.
+#[test]
+fn backend_server_that_leaves_by_its_responses_loses_its_keys() {
+    let cluster = Cluster::start_serving(|_| {}, &[]);
+    let load = Load::start(&cluster, &["entry-1", "entry-2", "entry-3", "entry-4"]);
+    load.wait_for_successes(30);
+    inject_faults(&cluster, 7311, r#"{"leaving": true}"#);
+    let has_lost_its_keys = || {
+        let lockers = (0..load::LOCKERS).map(|n| format!("L-{n}"));
+        let owners = lockers.filter_map(|l| cluster.lookup("entry-1", &l).ok());
+        let owners: Vec<_> = owners.map(|r| r.server().to_owned()).collect();
+        owners.len() == load::LOCKERS && !owners.iter().any(|o| o == "galway-1")
+    };
+    cluster::wait_until("the keys to move", has_lost_its_keys);
+    let before = cluster.executions().len();
+    load.wait_for_successes(60);
+    let results = load.stop();
+    let executions = cluster.executions().split_off(before);
+    assert!(executions.iter().all(|r| r.server != "galway-1"));
+    load::assert_verdicts(&cluster, &results);
+    load::assert_all_succeeded(results.iter());
+    cluster.assert_fences_never_decrease();
+}
+
+/// Servers that ask for no requests get none; callers are told when to return.
+#[test]
+fn quiet_backend_servers_get_no_requests() {
+    let cluster = Cluster::start_serving(|_| {}, &[]);
+    for port in [7311, 7312, 7331, 7332] {
+        inject_faults(&cluster, port, r#"{"quiet_s": 3}"#);
+    }
+    let lookup = || cluster.lookup("entry-1", "L-1").unwrap();
+    let first = lookup();
+    assert_eq!((first.status, first.verdict()), (503, "not-run"));
+    let seconds: u64 = first.header("retry-after").parse().unwrap();
+    assert!((1..=5).contains(&seconds), "{seconds}");
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(2) {
+        let sent = Instant::now();
+        assert_eq!(lookup().status, 503);
+        assert!(sent.elapsed() < Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(cluster.executions().len(), 0);
+    cluster::wait_until("a served request", || lookup().status == 200);
+}
+
 /// Only refused connections may fail, as no request was sent on them.
 #[test]
 fn stopping_entry_vm_aborts_no_request() {
