Gateway: a forwarded answer ends at the deadline of its request

Cause: the deadline covered the answer only until 64 KiB of its body were there; the rest was forwarded with no limit but 10 s for each write. Change: the rest is forwarded until the deadline, then both connections are closed. Related: a caller that reads nothing held its server through the same gap; a request body that stops was waited for 30 s and closed without an answer, and gets 408 at the caller's deadline now, as it has not run. Tests: three in gateway::tests::connections, which failed before with "no bytes in time" after 20 s or past the bound; all 81 of gateway pass.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -16,6 +16,7 @@
 use monoio::time;
 
 use super::exchange::{BodySource, MAX_BUFFERED_BYTES};
+use super::head;
 use super::request::{self as forward, RoutedRequest};
 use super::response::{LocalResponse, Response};
 use super::response_writer::{
@@ -262,14 +263,25 @@
             return ConnectionAction::Close;
         }
     }
-    let read = time::timeout(BODY_TIMEOUT, read_request_body(connection, &mut body)).await;
+    let request_id = parts.headers.get(&gateway.header_names.request_id).cloned();
+    let caller_timeout = head::parse_number(&parts.headers, &gateway.header_names.deadline);
+    let timeout = caller_timeout.map_or(BODY_TIMEOUT, Duration::from_millis);
+    let reading = read_request_body(connection, &mut body);
+    let read = time::timeout(timeout.min(BODY_TIMEOUT), reading).await;
     let (buffered, is_complete) = match read {
         Ok(Ok(read)) => read,
         Ok(Err(error)) => {
             write(gateway, connection, reject(&error), true).await;
             return ConnectionAction::Close;
         }
-        Err(_) => return ConnectionAction::Close,
+        Err(_) => {
+            let response = CallerResponse {
+                request_id,
+                ..request_timeout()
+            };
+            write(gateway, connection, response, true).await;
+            return ConnectionAction::Close;
+        }
     };
     if is_complete {
         let request = BufferedRequest {
@@ -283,7 +295,6 @@
         };
     }
     let close = !keeps_alive(&parts);
-    let request_id = parts.headers.get(&gateway.header_names.request_id).cloned();
     let buffered_bytes = buffered.len() as u64;
     let response = match RoutedRequest::new(gateway, &parts) {
         Err(response) => Response::Local(response),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -362,6 +362,7 @@
             connection: connection.http,
             reader: body,
             content_length,
+            deadline: attempt.deadline,
             in_flight,
         };
         return Outcome::Responded(response(ResponseBody::Streaming(Box::new(streaming))));
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,6 +1,6 @@
 //! Responses to callers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
@@ -54,6 +54,8 @@
     pub reader: BodyReader,
     /// Total length in bytes, if known.
     pub content_length: Option<u64>,
+    /// When the rest is given up: the end of the whole request.
+    pub deadline: Instant,
     /// Counts the request as in flight until dropped.
     pub in_flight: InFlightGuard,
 }
--- a/src/gateway/response_writer.rs
+++ b/src/gateway/response_writer.rs
@@ -8,6 +8,7 @@
 
 use super::Gateway;
 use super::response::{Response, ResponseBody, StreamingBody};
+use crate::clock;
 use crate::web::connection::{BodyEvent, BodyReader, HttpConnection};
 use crate::web::race::{self, Either};
 
@@ -82,10 +83,12 @@
     if !write_with_timeout(connection, bytes).await {
         return ConnectionAction::Close;
     }
-    if let Some(streaming) = streaming
-        && !Box::pin(stream_body(connection, *streaming)).await
-    {
-        return ConnectionAction::Close;
+    if let Some(streaming) = streaming {
+        let left = streaming.deadline.saturating_duration_since(clock::now());
+        let body = Box::pin(stream_body(connection, *streaming));
+        if !matches!(time::timeout(left, body).await, Ok(true)) {
+            return ConnectionAction::Close;
+        }
     }
     if close {
         close_gracefully(connection).await;
--- a/src/gateway/tests/connections.rs
+++ b/src/gateway/tests/connections.rs
@@ -1,8 +1,10 @@
 //! Caller connections: order of responses, bodies, limits and shutdown.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use super::mock::{Action, Fixture, MockBackend, header, read_message, send_text, status_code};
+use super::mock::{
+    Action, Fixture, MockBackend, header, read_message, send_text, status_code, wait_until,
+};
 use crate::gateway::exchange::MAX_BUFFERED_BYTES;
 use crate::runtime;
 
@@ -183,3 +185,78 @@
         assert_eq!(status_code(&fixture.request(request).await), 503);
     });
 }
+
+/// Longest time after the deadline for which a caller may be left without an end.
+const MAX_OVERRUN: Duration = Duration::from_millis(500);
+
+/// Guards against a long answer that stops on its way and is waited for without an end, with the
+/// requests behind it.
+#[test]
+fn a_streamed_response_that_stops_or_drips_ends_at_the_deadline() {
+    for rest in [Action::Wait, Action::Flood("y", Duration::from_millis(20))] {
+        runtime::run(async move {
+            let half = "y".repeat(MAX_BUFFERED_BYTES * 2);
+            let head = format!(
+                "HTTP/1.1 200 OK\nx-request: ID\nx-signature: s\ncontent-length: {}\n\n{half}",
+                half.len() * 2
+            );
+            let stopping = vec![Action::Send(head.leak()), rest];
+            let backend = MockBackend::start(vec![stopping, vec![OK]]);
+            let fixture = Fixture::new(&[&backend]);
+            let mut caller = fixture.connect().await;
+            let begun = Instant::now();
+            let deadline = Duration::from_millis(400);
+            for id in [7, 8] {
+                let request =
+                    format!("GET /safe/1 HTTP/1.1\nhost: h\nx-request: {id}\nx-deadline: 400\n\n");
+                send_text(&mut caller, &request).await;
+            }
+            assert_eq!(read_message(&mut caller, &mut String::new()).await, None);
+            assert!(begun.elapsed() < deadline + MAX_OVERRUN);
+            wait_until(|| *backend.disconnects.borrow() == 1).await;
+        });
+    }
+}
+
+/// Guards against a caller that reads nothing of a long answer and holds the server.
+#[test]
+fn a_caller_that_reads_nothing_is_closed_at_the_deadline() {
+    runtime::run(async {
+        let block = Box::leak("y".repeat(64 << 10).into_boxed_str());
+        let head = "HTTP/1.1 200 OK\nx-request: ID\nx-signature: s\ncontent-length: 900000000\n\n";
+        let endless = vec![Action::Send(head), Action::Flood(block, Duration::ZERO)];
+        let backend = MockBackend::start(vec![endless]);
+        let fixture = Fixture::new(&[&backend]);
+        let mut caller = fixture.connect().await;
+        let begun = Instant::now();
+        let request = "GET /safe/1 HTTP/1.1\nhost: h\nx-request: 7\nx-deadline: 400\n\n";
+        send_text(&mut caller, request).await;
+        wait_until(|| *backend.disconnects.borrow() == 1).await;
+        assert!(begun.elapsed() < Duration::from_millis(400) + MAX_OVERRUN);
+    });
+}
+
+/// Guards against a caller whose body stops: it is told that its request did not run.
+#[test]
+fn a_request_body_that_stops_is_answered_at_the_deadline() {
+    let whole = MAX_BUFFERED_BYTES * 2;
+    for (sent, length, status) in [(3, 10, 408), (whole, whole * 2, 504)] {
+        runtime::run(async move {
+            let backend = MockBackend::start(vec![vec![OK]]);
+            let fixture = Fixture::new(&[&backend]);
+            let mut caller = fixture.connect().await;
+            let begun = Instant::now();
+            let head = format!(
+                "POST /once/1 HTTP/1.1\nhost: h\nx-request: 7\nx-deadline: 400\ncontent-length: {length}\n\n"
+            );
+            send_text(&mut caller, &head).await;
+            send_text(&mut caller, &"x".repeat(sent)).await;
+            let mut text = String::new();
+            let response = read_message(&mut caller, &mut text).await.unwrap();
+            assert_eq!(status_code(&response), status, "{response}");
+            assert_eq!(header(&response, "connection").as_deref(), Some("close"));
+            assert!(begun.elapsed() < Duration::from_millis(400) + MAX_OVERRUN);
+            assert_eq!(backend.requests.borrow().len(), 0);
+        });
+    }
+}
