--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -331,13 +331,13 @@
             .borrow_mut()
             .extend_from_slice(&observations.latencies);
         let store = self.coordinator.state.fleet.borrow();
-        let is_news = |i: &&Incarnation| {
+        let is_ready = |i: &&Incarnation| {
             store
                 .incarnation(i)
                 .is_some_and(|s| s.state == ServerState::Ready)
         };
         let mut leaving = self.leaving.borrow_mut();
-        for incarnation in observations.leaving.iter().filter(is_news) {
+        for incarnation in observations.leaving.iter().filter(is_ready) {
             if leaving.insert(incarnation.clone()) {
                 self.leaving_added.wake();
             }
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -61,13 +61,12 @@
     let stays = |b: &&Rc<Backend>| !b.is_leaving();
     let responsive =
         |b: &&Rc<Backend>| !b.is_backing_off(context.now) && b.silence(context.now) < MAX_SILENCE;
-    let usable = || backends.iter().filter(untried).filter(available);
-    if backends.iter().any(|b| accepts(&b) && responsive(&b)) {
-        let usable = || usable().filter(responsive);
-        min_by_cost(usable().filter(stays), context).or_else(|| min_by_cost(usable(), context))
-    } else {
-        min_by_cost(usable().filter(stays), context).or_else(|| min_by_cost(usable(), context))
-    }
+    let any_responsive = backends.iter().any(|b| accepts(&b) && responsive(&b));
+    let usable = || {
+        let available = backends.iter().filter(untried).filter(available);
+        available.filter(|b| !any_responsive || responsive(b))
+    };
+    min_by_cost(usable().filter(stays), context).or_else(|| min_by_cost(usable(), context))
 }
 
 /// Time until the first of the backend servers wants requests again; `None` if one of them does
--- a/src/gateway/tests/connections.rs
+++ b/src/gateway/tests/connections.rs
@@ -236,7 +236,7 @@
     });
 }
 
-/// Guards against a caller whose body stops: it is told that its request did not run.
+/// Guards against a caller whose body stops and that gets no answer.
 #[test]
 fn a_request_body_that_stops_is_answered_at_the_deadline() {
     let whole = MAX_BUFFERED_BYTES * 2;
--- a/tests/cuts.rs
+++ b/tests/cuts.rs
@@ -8,9 +8,6 @@
 
 mod support;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
-
 use support::load::{self, LOCKERS};
 use support::{Cluster, Load, cluster};
 
@@ -22,17 +19,6 @@
     ("cork-2", 7332),
 ];
 
-/// Injects faults into a backend server.
-fn inject_faults(cluster: &Cluster, port: u16, faults: &str) {
-    let mut stream = TcpStream::connect(cluster.address(port)).unwrap();
-    let length = faults.len();
-    let head = "POST /_stand-in HTTP/1.1\r\nhost: x\r\nconnection: close";
-    write!(stream, "{head}\r\ncontent-length: {length}\r\n\r\n{faults}").unwrap();
-    let mut response = String::new();
-    stream.read_to_string(&mut response).unwrap();
-    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
-}
-
 /// The open connections of each backend server in turn stay open and give no more responses.
 #[test]
 fn unresponsive_connections_fail_no_lookup_and_repeat_no_claim() {
@@ -40,7 +26,7 @@
     let load = Load::start(&cluster, &ENTRY_VMS);
     for (_, port) in SERVERS {
         load.wait_for_successes(60);
-        inject_faults(&cluster, port, r#"{"silent": true}"#);
+        cluster.inject_faults(port, r#"{"silent": true}"#);
         load.wait_for_successes(60);
     }
     let results = load.stop();
@@ -62,7 +48,7 @@
         &["--slots", "200"],
     );
     for (_, port) in SERVERS {
-        inject_faults(&cluster, port, r#"{"lose_half": true}"#);
+        cluster.inject_faults(port, r#"{"lose_half": true}"#);
     }
     let load = Load::start(&cluster, &ENTRY_VMS);
     load.wait_for_successes(60);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! Processes that get `SIGTERM` while requests run.
+//! Processes that leave while requests run: by `SIGTERM`, or as their responses say.
 #![allow(
     clippy::unwrap_used,
     clippy::panic,
@@ -8,8 +8,7 @@
 
 mod support;
 
-use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::io::ErrorKind;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -57,24 +56,13 @@
     cluster.assert_fences_never_decrease();
 }
 
-/// Injects faults into a backend server.
-fn inject_faults(cluster: &Cluster, port: u16, faults: &str) {
-    let mut stream = TcpStream::connect(cluster.address(port)).unwrap();
-    let length = faults.len();
-    let head = "POST /_stand-in HTTP/1.1\r\nhost: x\r\nconnection: close";
-    write!(stream, "{head}\r\ncontent-length: {length}\r\n\r\n{faults}").unwrap();
-    let mut response = String::new();
-    stream.read_to_string(&mut response).unwrap();
-    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
-}
-
 /// A server says in its responses that it leaves, and nothing in its heartbeats.
 #[test]
 fn backend_server_that_leaves_by_its_responses_loses_its_keys() {
     let cluster = Cluster::start_serving(|_| {}, &[]);
     let load = Load::start(&cluster, &["entry-1", "entry-2", "entry-3", "entry-4"]);
     load.wait_for_successes(30);
-    inject_faults(&cluster, 7311, r#"{"leaving": true}"#);
+    cluster.inject_faults(7311, r#"{"leaving": true}"#);
     let has_lost_its_keys = || {
         let lockers = (0..load::LOCKERS).map(|n| format!("L-{n}"));
         let owners = lockers.filter_map(|l| cluster.lookup("entry-1", &l).ok());
@@ -97,7 +85,7 @@
 fn quiet_backend_servers_get_no_requests() {
     let cluster = Cluster::start_serving(|_| {}, &[]);
     for port in [7311, 7312, 7331, 7332] {
-        inject_faults(&cluster, port, r#"{"quiet_s": 3}"#);
+        cluster.inject_faults(port, r#"{"quiet_s": 3}"#);
     }
     let lookup = || cluster.lookup("entry-1", "L-1").unwrap();
     let first = lookup();
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -369,6 +369,17 @@
         send_request(self.caller_address(entry), "POST", &path, Some(claim))
     }
 
+    /// Injects faults into a backend server.
+    pub fn inject_faults(&self, port: u16, faults: &str) {
+        let mut stream = TcpStream::connect(self.address(port)).unwrap();
+        let length = faults.len();
+        let head = "POST /_stand-in HTTP/1.1\r\nhost: x\r\nconnection: close";
+        write!(stream, "{head}\r\ncontent-length: {length}\r\n\r\n{faults}").unwrap();
+        let mut response = String::new();
+        stream.read_to_string(&mut response).unwrap();
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+
     /// All executed requests, by time and fence.
     pub fn executions(&self) -> Vec<Execution> {
         let mut executions = Vec::new();
