Route table: servers that leave are forgotten with their entry in the map

Cause: the set of servers to report grew with each incarnation that left. Change: a report drops those that the map no longer names.

--- a/src/gateway/control_poll.rs
+++ b/src/gateway/control_poll.rs
@@ -35,7 +35,8 @@
 /// Addresses of control VMs to start from.
 pub type Seeds = Rc<RefCell<Vec<SocketAddr>>>;
 
-/// Reports loads, latencies and servers that leave to the current control VM at intervals; never returns.
+/// Reports loads, latencies and servers that leave to the current control VM at intervals; never
+/// returns.
 async fn report_observations(gateway: Rc<Gateway>, current_peer: CurrentPeer) {
     loop {
         gateway.noticed.wait(OBSERVATION_INTERVAL).await;
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -86,11 +86,14 @@
         }
     }
 
-    /// Records that a response of an owner said that it leaves.
+    /// Records that a response of an owner said that it leaves; forgets servers without a route map
+    /// entry.
     pub fn record_leaving(&self, service: &str, owner: &Owner) {
         let mut services = self.inner.services.borrow_mut();
         let zones = services.get_mut(service);
         if let Some(zone) = zones.and_then(|zones| zones.get_mut(&owner.zone)) {
+            let known: HashSet<_> = zone.map.servers().map(|s| &s.incarnation).collect();
+            zone.leaving.retain(|i| known.contains(i));
             zone.leaving
                 .insert(ids::Incarnation::clone(&owner.server.incarnation));
         }
