--- a/src/log/tests/slow_snapshot.rs
+++ b/src/log/tests/slow_snapshot.rs
@@ -96,9 +96,19 @@
 /// Entries after which a replica of these clusters takes a snapshot.
 const SNAPSHOT_ENTRIES: u64 = 20;
 
-/// Starts a cluster in which a follower is encoding a snapshot; returns it with the follower and
-/// what blocks it.
-async fn start_with_blocked_follower() -> (Cluster, usize, Arc<Blocker>) {
+/// Entries covered by a snapshot that the replicas of these clusters keep.
+const TRAILING_ENTRIES: u64 = 10;
+
+/// A cluster in which a follower is encoding a snapshot.
+struct BlockedFollower {
+    cluster: Cluster,
+    follower: usize,
+    blocker: Arc<Blocker>,
+    /// Commands applied by all replicas.
+    commands: usize,
+}
+
+async fn start_with_blocked_follower() -> BlockedFollower {
     let mut cluster = Cluster::start_new(3, SNAPSHOT_ENTRIES).await;
     let leader = cluster.leader().await;
     let follower = (leader + 1) % 3;
@@ -107,11 +117,19 @@
     cluster.vms[follower].before_encode = Some(Arc::new(move || hook.block()));
     cluster.kill(follower);
     cluster.start(follower);
-    for number in 0..25 {
-        cluster.propose(&format!("a{number}"), follower).await;
+    // A follower that lags gets a snapshot of the leader instead of taking its own.
+    let mut commands = 0;
+    while !*blocker.entered.lock().unwrap() {
+        cluster.propose(&format!("a{commands}"), follower).await;
+        commands += 1;
+        cluster.wait_for_agreement(&[0, 1, 2], commands).await;
+    }
+    BlockedFollower {
+        cluster,
+        follower,
+        blocker,
+        commands,
     }
-    until("a snapshot", || *blocker.entered.lock().unwrap()).await;
-    (cluster, follower, blocker)
 }
 
 /// Index of the snapshot in a replica's data directory; 0 without one.
@@ -130,18 +148,29 @@
 #[test]
 fn snapshot_encoded_before_a_newer_one_was_installed_is_dropped() {
     runtime::run(async {
-        let (mut cluster, follower, blocker) = start_with_blocked_follower().await;
+        let BlockedFollower {
+            mut cluster,
+            follower,
+            blocker,
+            commands,
+        } = start_with_blocked_follower().await;
         cluster.isolate(follower, true);
         for number in 0..60 {
             cluster.propose(&format!("b{number}"), follower).await;
         }
+        let leader = cluster.leader_except(follower).await;
+        until("the leader to compact its log", || {
+            let last_index = cluster.handle(follower).status().last_index;
+            cluster.handle(leader).status().snapshot_index > last_index + TRAILING_ENTRIES
+        })
+        .await;
         cluster.isolate(follower, false);
         until("an installed snapshot", || {
             cluster.event_count(follower, "log.installed") > 0
         })
         .await;
         cluster.propose("after", follower).await;
-        cluster.wait_for_agreement(&[0, 1, 2], 86).await;
+        cluster.wait_for_agreement(&[0, 1, 2], commands + 61).await;
         let installed = stored_index(&cluster, follower);
         blocker.release();
         until("the snapshot to be stored or dropped", || {
@@ -152,7 +181,7 @@
         assert!(stored_index(&cluster, follower) >= installed);
         cluster.kill(follower);
         assert_eq!(cluster.try_start(follower), Ok(()));
-        cluster.wait_for_agreement(&[0, 1, 2], 86).await;
+        cluster.wait_for_agreement(&[0, 1, 2], commands + 61).await;
     });
 }
 
@@ -160,7 +189,12 @@
 #[test]
 fn snapshot_encoded_while_one_is_installed_is_dropped() {
     runtime::run(async {
-        let (cluster, follower, blocker) = start_with_blocked_follower().await;
+        let BlockedFollower {
+            cluster,
+            follower,
+            blocker,
+            ..
+        } = start_with_blocked_follower().await;
         let stored = stored_index(&cluster, follower);
         cluster.handle(follower).node.state_mut().installing = true;
         blocker.release();
