--- a/src/gateway/tests/notices.rs
+++ b/src/gateway/tests/notices.rs
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::fleet::updates::Updates;
 use crate::fleet::{Incarnation, Server, ServerState};
-use crate::gateway::backend::Backend;
+use crate::gateway::backend::{Backend, InFlightGuard};
 use crate::gateway::selection::{self, SelectionContext};
 use crate::runtime;
 use crate::web::retry_after::{self, MAX_QUIET};
@@ -51,6 +51,12 @@
     Rc::clone(found.unwrap())
 }
 
+/// Requests in flight at a server, so that another is the first choice.
+fn keep_busy(fixture: &Fixture, name: &str) -> Vec<InFlightGuard> {
+    let backend = named(fixture, name);
+    (0..4).map(|_| backend.start_request()).collect()
+}
+
 fn successor(server: &Server) -> Server {
     Server {
         incarnation: Incarnation {
@@ -78,9 +84,7 @@
             let one = MockBackend::start(vec![first, vec![OK], vec![OK]]);
             let other = MockBackend::start((0..20).map(|_| vec![OK]).collect());
             let fixture = Fixture::new(&[&one, &other]);
-            let busy: Vec<_> = (0..4)
-                .map(|_| named(&fixture, "plain-1").start_request())
-                .collect();
+            let busy = keep_busy(&fixture, "plain-1");
             fixture.request(&request(1)).await;
             drop(busy);
             assert!(named(&fixture, "plain-0").is_leaving(), "{leaving:?}");
@@ -218,9 +222,7 @@
         let one = MockBackend::start(vec![vec![QUIET], vec![OK], vec![OK]]);
         let other = MockBackend::start((0..20).map(|_| vec![OK]).collect());
         let fixture = Fixture::new(&[&one, &other]);
-        let busy: Vec<_> = (0..4)
-            .map(|_| named(&fixture, "plain-1").start_request())
-            .collect();
+        let busy = keep_busy(&fixture, "plain-1");
         fixture.request(&request(1)).await;
         drop(busy);
         for id in 2..8 {
