Evacuation of a zone, end to end

Cause: evacuation.start and evacuation.finish were answered 404. Change: both calls are commands in the log (Change::Evacuate, EndEvacuation); the store keeps the zones, updates carry them, entry VMs mark the servers of such zones. Servers without keys get nothing at once, owners nothing after half of the setting evacuation. The planner takes the keys away in three groups. Servers of a zone that was returned are cold (Backend::set_cold).

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -119,3 +119,32 @@
         parse(&text).ok_or_else(|| de::Error::custom(format!("{text:?} is no time")))
     }
 }
+
+/// Serializes an optional [`Duration`] as [`text`] or null, for
+/// `#[serde(with = "clock::optional_text")]`.
+pub mod optional_text {
+    use serde::{Deserialize, Deserializer, Serializer};
+    use std::time::Duration;
+
+    #[derive(Deserialize)]
+    struct Text(#[serde(with = "super::text")] Duration);
+
+    /// Serializes as text in whole milliseconds, or as null.
+    pub fn serialize<S>(duration: &Option<Duration>, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        match duration {
+            Some(duration) => super::text::serialize(duration, serializer),
+            None => serializer.serialize_none(),
+        }
+    }
+
+    /// Deserializes a number with its unit, or null.
+    pub fn deserialize<'de, D>(deserializer: D) -> Result<Option<Duration>, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        Ok(Option::<Text>::deserialize(deserializer)?.map(|t| t.0))
+    }
+}
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::delivery::Clients;
+use super::evacuation;
 use super::grant_client::CallFormat;
 use super::leases::{self, Leases};
 use super::load::LoadCounts;
@@ -118,6 +119,8 @@
     pub(super) latencies: RefCell<HashMap<ids::ServerName, f64>>,
     /// Backend servers whose state is being set to draining, as they said that they leave.
     marking: RefCell<HashSet<Incarnation>>,
+    /// Evacuations of zones that are under way.
+    pub(super) evacuations: RefCell<evacuation::Progress>,
 }
 
 impl Coordinator {
@@ -142,6 +145,7 @@
             first_heartbeat: RefCell::default(),
             latencies: RefCell::default(),
             marking: RefCell::default(),
+            evacuations: RefCell::default(),
             pass_needed: Notify::default(),
             pass_requested: Cell::default(),
             delayed: RefCell::default(),
@@ -260,6 +264,8 @@
             .await?;
         let state = self.with_fleet(|store| store.incarnation(&incarnation).map(|s| s.state));
         match state {
+            Some(ServerState::Ready)
+                if !self.with_fleet(|store| store.accepts_keys(&incarnation)) => {}
             Some(ServerState::Ready) => {
                 self.assign_ranges(leading_since, service, &incarnation)
                     .await?;
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -16,7 +16,7 @@
 use super::due_calls::{self, DueCalls};
 use super::grant_client::{CallOutcome, GrantClient, Request};
 use super::messages::{GrantedRange, ReleasedRange};
-use super::model::{Incarnation, KeyRange, Server, ServerState};
+use super::model::{Incarnation, KeyRange, Server};
 use crate::clock;
 use crate::ids;
 use crate::timeline::Event;
@@ -56,11 +56,7 @@
                 by_owner.entry(next.incarnation).or_default().push(range);
             }
         }
-        let is_ready = |incarnation: &Incarnation| {
-            let state = self.with_fleet(|store| store.incarnation(incarnation).map(|s| s.state));
-            state == Some(ServerState::Ready)
-        };
-        by_owner.retain(|incarnation, _| is_ready(incarnation));
+        self.with_fleet(|store| by_owner.retain(|next, _| store.accepts_keys(next)));
         let assignments = by_owner
             .iter()
             .map(|(incarnation, ranges)| self.assign(leading_since, service, incarnation, ranges));
--- /dev/null
+++ b/src/fleet/evacuation.rs
@@ -0,0 +1,213 @@
+//! Evacuation of availability zones.
+//!
+//! From the start of an evacuation until its withdrawal, the backend servers of a zone get no
+//! requests and no keys. The log keeps the evacuated zones; entry VMs learn of them by
+//! [`updates`](super::updates). The servers of a zone give up their keys in groups, so that
+//! the requests that wait for moving keys don't reach the other servers all at once.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::coordinator::{Coordinator, RequestError};
+use super::frontend::Frontend;
+use super::messages;
+use super::model::{Incarnation, Server, ServerState};
+use super::ranges::RangeMap;
+use super::store::{Change, Store, Versioned};
+use crate::ids;
+use crate::timeline::Event;
+
+/// Groups of servers that give up their keys one after another.
+const GROUPS: usize = 3;
+
+/// Time between two groups. The last one leaves after 0.4 s, and a move by heartbeats takes two
+/// heartbeats, so that all keys have moved after 2.2 s; owners get requests for 2.5 s.
+const GROUP_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Whether a zone is evacuated; as a call, that it is to be.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneEvacuation {
+    /// Zone.
+    pub zone: ids::ZoneName,
+    /// Whether it is evacuated.
+    pub active: bool,
+}
+
+/// Outcome of a call that starts or ends an evacuation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The log has the change.
+    Accepted,
+    /// No VM or backend server is in the zone; with the known zones.
+    UnknownZone(Vec<ids::ZoneName>),
+}
+
+/// Why a call was refused, as text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnknownZone<'a> {
+    /// Zone of the call; may be empty.
+    pub zone: &'a str,
+    /// Zones that are known.
+    pub known: &'a [ids::ZoneName],
+}
+
+impl fmt::Display for UnknownZone<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let known = self.known.join(", ");
+        match self.zone {
+            "" => write!(f, "no zone is named; the known zones are {known}"),
+            zone => write!(f, "zone {zone:?} is unknown; the known zones are {known}"),
+        }
+    }
+}
+
+impl Store {
+    pub(super) fn set_evacuated(
+        &mut self,
+        index: ids::LogIndex,
+        zone: ids::ZoneName,
+        active: bool,
+    ) {
+        if self.is_evacuated(&zone) == active {
+            return;
+        }
+        let versioned = Versioned {
+            value: active,
+            changed: index,
+        };
+        self.evacuations.insert(zone, versioned);
+    }
+
+    /// Whether a zone is evacuated.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuations.get(zone).is_some_and(|e| e.value)
+    }
+
+    /// Whether an incarnation is ready and in no evacuated zone.
+    pub fn accepts_keys(&self, incarnation: &Incarnation) -> bool {
+        let server = self.incarnation(incarnation);
+        server.is_some_and(|s| s.state == ServerState::Ready && !self.is_evacuated(&s.zone))
+    }
+
+    /// Zones of VMs, of backend servers and of earlier evacuations, in order.
+    pub fn zones(&self) -> Vec<ids::ZoneName> {
+        let servers = self.servers.values().map(|s| &s.value.zone);
+        let zones = servers.chain(self.vms().map(|v| &v.zone));
+        let mut zones: Vec<_> = zones.chain(self.evacuations.keys()).cloned().collect();
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+}
+
+/// Evacuations that this leader has seen, with the time at which it first saw each.
+#[derive(Debug, Default)]
+pub struct Progress {
+    started: HashMap<ids::ZoneName, (ids::LogIndex, Instant)>,
+}
+
+impl Progress {
+    /// Follows the evacuations of the log.
+    pub fn update(&mut self, store: &Store, now: Instant) {
+        let active = store.evacuations.iter().filter(|(_, e)| e.value);
+        let active = active.map(|(zone, e)| {
+            let known = self.started.get(zone).filter(|s| s.0 == e.changed);
+            let started = known.copied().unwrap_or((e.changed, now));
+            (Arc::clone(zone), started)
+        });
+        self.started = active.collect();
+    }
+
+    /// Number of groups of a zone that have to give up their keys; all of those of an evacuation
+    /// that is part of the log up to `first_index`, with which this leader began.
+    fn due_groups(&self, zone: &str, first_index: ids::LogIndex, now: Instant) -> usize {
+        match self.started.get(zone) {
+            Some((index, started)) if *index > first_index => {
+                let passed = now.saturating_duration_since(*started).as_millis();
+                let due = passed / GROUP_INTERVAL.as_millis();
+                usize::try_from(due).map_or(GROUPS, |due| due.saturating_add(1))
+            }
+            _ => GROUPS,
+        }
+    }
+
+    /// Names of the servers of a service that are in an evacuated zone and keep their keys for
+    /// the moment.
+    ///
+    /// A server that is named as a next owner doesn't, so that no key moves into the zone.
+    pub fn retained(
+        &self,
+        store: &Store,
+        service: &str,
+        first_index: ids::LogIndex,
+        now: Instant,
+    ) -> Vec<ids::ServerName> {
+        if self.started.is_empty() {
+            return Vec::new();
+        }
+        let ranges = || store.ranges(service).into_iter().flat_map(RangeMap::iter);
+        let owns = |s: &Server| {
+            ranges().any(|r| r.next.is_none() && r.owner.as_ref() == Some(&s.incarnation))
+        };
+        let is_next = |s: &Server| {
+            let mut next = ranges().filter_map(|r| r.next.as_ref());
+            next.any(|n| n.incarnation == s.incarnation)
+        };
+        let mut retained = Vec::new();
+        for zone in self.started.keys() {
+            let due = self.due_groups(zone, first_index, now);
+            let in_zone = store.servers_of(service).filter(|s| s.zone == *zone);
+            let later = in_zone.enumerate().filter(|(i, _)| i % GROUPS >= due);
+            let staying = later.filter(|(_, s)| owns(s) && !is_next(s));
+            retained.extend(staying.map(|(_, s)| Arc::clone(&s.incarnation.server)));
+        }
+        retained
+    }
+}
+
+impl Coordinator {
+    /// Starts or ends the evacuation of a zone.
+    ///
+    /// # Errors
+    ///
+    /// [`RequestError`] if the change was not or may not have been committed.
+    pub async fn evacuate(&self, evacuation: ZoneEvacuation) -> Result<Outcome, RequestError> {
+        self.log.leading_since().ok_or(RequestError::NotLeader)?;
+        let known = self.with_fleet(Store::zones);
+        let ZoneEvacuation { zone, active } = evacuation;
+        if !known.contains(&zone) {
+            return Ok(Outcome::UnknownZone(known));
+        }
+        let event = match active {
+            true => Event::new("fleet.evacuate").zone(&zone),
+            false => Event::new("fleet.evacuate_end").zone(&zone),
+        };
+        self.propose_fleet(match active {
+            true => Change::Evacuate { zone },
+            false => Change::EndEvacuation { zone },
+        })
+        .await?;
+        self.journal.record(event);
+        self.request_pass();
+        Ok(Outcome::Accepted)
+    }
+}
+
+impl Frontend {
+    /// Starts or ends the evacuation of a zone.
+    ///
+    /// # Errors
+    ///
+    /// [`RequestError`] if the outcome is unknown or the leader was not reached.
+    pub async fn evacuate(&self, evacuation: ZoneEvacuation) -> Result<Outcome, RequestError> {
+        if self.is_leader() {
+            return self.coordinator.evacuate(evacuation).await;
+        }
+        self.forward(messages::EVACUATION, &evacuation).await
+    }
+}
--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -62,7 +62,7 @@
 
 /// Request handling of one control VM.
 pub struct Frontend {
-    coordinator: Rc<Coordinator>,
+    pub(super) coordinator: Rc<Coordinator>,
     /// Address of this VM for backend servers and operators; its port is the same on every VM.
     control: SocketAddr,
     journal: Journal,
@@ -97,7 +97,7 @@
         })
     }
 
-    fn is_leader(&self) -> bool {
+    pub(super) fn is_leader(&self) -> bool {
         self.coordinator.log.leading_since().is_some()
     }
 
@@ -271,6 +271,11 @@
                     .register_vm(server::decode_params(&body)?)
                     .await,
             ),
+            messages::EVACUATION if self.is_leader() => to_answer(
+                self.coordinator
+                    .evacuate(server::decode_params(&body)?)
+                    .await,
+            ),
             messages::OBSERVATIONS => {
                 self.record_observations(&server::decode_params(&body)?);
                 server::encode_result(&())
@@ -401,7 +406,7 @@
     }
 
     /// Forwards a call to the leader.
-    async fn forward<Q, A>(&self, method: &str, request: &Q) -> Result<A, RequestError>
+    pub(super) async fn forward<Q, A>(&self, method: &str, request: &Q) -> Result<A, RequestError>
     where
         Q: Serialize,
         A: DeserializeOwned,
@@ -434,6 +439,7 @@
         messages::CHANGE,
         messages::POSITION,
         messages::VM,
+        messages::EVACUATION,
     ];
     methods.contains(&method)
 }
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -98,6 +98,11 @@
         self.leading_since
     }
 
+    /// Log index that was applied when this VM became the leader.
+    pub fn first_index(&self) -> ids::LogIndex {
+        self.first_index
+    }
+
     /// Records a heartbeat; `false` if a newer one of this or a later incarnation is known.
     ///
     /// `applied_index` is the log index applied on this VM.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 mod delivery;
 pub mod due_calls;
 pub mod encoding;
+pub mod evacuation;
 pub mod frontend;
 pub mod grant_client;
 pub mod leases;
--- a/src/fleet/reassign.rs
+++ b/src/fleet/reassign.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use super::coordinator::{Coordinator, RequestError, SILENCE_LIMIT};
+use super::evacuation::Progress;
 use super::leases::Leases;
 use super::messages::{GrantedRange, Lease};
 use super::model::{Incarnation, KeyRange, Server, ServerState};
@@ -39,7 +40,9 @@
                 let none = RangeMap::default();
                 let ranges = store.ranges(service).unwrap_or(&none);
                 let latencies = self.latencies.borrow();
-                let candidates = candidates(store, &leases, &latencies, service, now);
+                let mut evacuations = self.evacuations.borrow_mut();
+                evacuations.update(store, now);
+                let candidates = candidates(store, &leases, &latencies, &evacuations, service, now);
                 plan::plan(ranges, &candidates, &shares, rebalance)
             })
         };
@@ -196,11 +199,13 @@
 }
 
 /// Backend servers that may own keys: ready ones that sent a heartbeat lately or own keys under
-/// a lease that has not expired.
-fn candidates(
+/// a lease that has not expired. Those of an evacuated zone only keep keys, until their turn to give
+/// them up.
+pub(super) fn candidates(
     store: &Store,
     leases: &Leases,
     latencies: &HashMap<ids::ServerName, f64>,
+    evacuations: &Progress,
     service: &str,
     now: Instant,
 ) -> Vec<Candidate> {
@@ -215,9 +220,12 @@
     let is_alive = |s: &Server| {
         !is_silent(s) || (owns_keys(s) && !leases.has_expired(&s.incarnation, store, now))
     };
+    let retained = evacuations.retained(store, service, leases.first_index(), now);
+    let may_own =
+        |s: &Server| !store.is_evacuated(&s.zone) || retained.contains(&s.incarnation.server);
     let ready = store
         .servers_of(service)
-        .filter(|s| s.state == ServerState::Ready && is_alive(s));
+        .filter(|s| s.state == ServerState::Ready && may_own(s) && is_alive(s));
     let latency_ratio = |incarnation: &Incarnation| {
         let ratio = latencies.get(&incarnation.server).copied().unwrap_or(1.0);
         ratio.clamp(LATENCY_RATIO_BOUNDS.0, LATENCY_RATIO_BOUNDS.1)
@@ -225,7 +233,8 @@
     let candidate = |s: &Arc<Server>| Candidate {
         incarnation: s.incarnation.clone(),
         weight: f64::from(s.slots.max(1)) / latency_ratio(&s.incarnation),
-        accepts_keys: !leases.calls().is_failing(&s.incarnation, now),
+        accepts_keys: !leases.calls().is_failing(&s.incarnation, now)
+            && !store.is_evacuated(&s.zone),
     };
     ready.map(candidate).collect()
 }
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -65,6 +65,16 @@
         #[serde(rename = "spans")]
         ranges: Vec<AssignedRange>,
     },
+    /// Evacuates a zone: its backend servers get no requests and no keys.
+    Evacuate {
+        /// Zone to evacuate.
+        zone: ids::ZoneName,
+    },
+    /// Withdraws the evacuation of a zone.
+    EndEvacuation {
+        /// Zone to return to service.
+        zone: ids::ZoneName,
+    },
 }
 
 /// A value and the log index of its last change.
@@ -84,6 +94,9 @@
     /// Log index of the newest tombstone that was pruned.
     #[serde(rename = "floor")]
     pub(super) pruned_to: ids::LogIndex,
+    /// Whether each zone that was ever evacuated is so now.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(super) evacuations: BTreeMap<ids::ZoneName, Versioned<bool>>,
 }
 
 impl Store {
@@ -160,6 +173,8 @@
                 let map = self.ranges.entry(service).or_default();
                 map.assign(index, &incarnation, &ranges);
             }
+            Change::Evacuate { zone } => self.set_evacuated(index, zone, true),
+            Change::EndEvacuation { zone } => self.set_evacuated(index, zone, false),
         }
     }
 
--- a/src/fleet/updates.rs
+++ b/src/fleet/updates.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::evacuation::ZoneEvacuation;
 use super::model::{Key, KeyRange, Server, ServerState, Vm};
 use super::store::Store;
 use crate::ids;
@@ -100,6 +101,9 @@
     /// Changed VMs.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub vms: Vec<Vm>,
+    /// Zones whose evacuation began or ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuations: Vec<ZoneEvacuation>,
 }
 
 impl Updates {
@@ -118,6 +122,7 @@
             && self.servers.is_empty()
             && self.ranges.is_empty()
             && self.vms.is_empty()
+            && self.evacuations.is_empty()
     }
 }
 
@@ -134,6 +139,7 @@
     let servers = changed.map(|v| &v.value);
     let ranges = store.ranges.iter().filter(|(_, r)| is_new(r.changed));
     let vms = store.vms.values().filter(|v| is_new(v.changed));
+    let evacuations = store.evacuations.iter();
     Updates {
         index,
         full,
@@ -153,5 +159,12 @@
             })
             .collect(),
         vms: vms.map(|v| v.value.clone()).collect(),
+        evacuations: evacuations
+            .filter(|(_, active)| is_new(active.changed))
+            .map(|(zone, active)| ZoneEvacuation {
+                zone: Arc::clone(zone),
+                active: active.value,
+            })
+            .collect(),
     }
 }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -17,6 +17,10 @@
 /// Suggested wait when no backend server is reachable.
 pub(super) const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Suggested wait when the servers are in evacuated zones: an evacuation ends at an operator's word,
+/// so that no time is likely to be right, and a second is within the time that most callers have.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Time from the end of a lease until the keys have a new owner, if failover is possible at all.
 const FAILOVER_MARGIN: Duration = Duration::from_millis(400);
 
@@ -63,6 +67,8 @@
     Overloaded(Duration),
     /// The owner, or every server, asked for no requests; time until that ends.
     Quiet(Duration),
+    /// The zone of the owner, or of every server, is evacuated.
+    Evacuated,
 }
 
 impl Attempts {
@@ -103,6 +109,13 @@
                 UNREACHABLE_RETRY_AFTER,
                 "no key of the service has a holder",
             ),
+            Attempts {
+                unavailable: Some(Unavailable::Evacuated),
+                ..
+            } => LocalResponse::unavailable(
+                EVACUATED_RETRY_AFTER.mul_f64(1.0 + QUIET_SPREAD * fastrand::f64()),
+                "the zone of every server is evacuated",
+            ),
             _ if has_key => {
                 LocalResponse::unavailable(MOVE_RETRY_AFTER, "the key has no holder now")
             }
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -79,6 +79,9 @@
     /// When the server was first seen to leave.
     leaving_since: Cell<Option<Instant>>,
     quiet_until: Cell<Option<Instant>>,
+    /// Since when this VM knows that the zone of the server is evacuated.
+    evacuated_since: Cell<Option<Instant>>,
+    cold_until: Cell<Option<Instant>>,
 }
 
 impl Backend {
@@ -105,6 +108,8 @@
             overloaded_until: Cell::new(None),
             leaving_since: Cell::new(None),
             quiet_until: Cell::new(None),
+            evacuated_since: Cell::new(None),
+            cold_until: Cell::new(None),
         })
     }
 
@@ -284,6 +289,31 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// Sets since when this VM knows that the zone of the server is evacuated, if it is.
+    pub fn set_evacuated(&self, since: Option<Instant>) {
+        self.evacuated_since.set(since);
+    }
+
+    /// Whether the zone of the server has been evacuated for `grace`.
+    ///
+    /// A server without keys gets no requests from the start, an owner of keys gets them for as long
+    /// as its keys take to move.
+    pub fn is_evacuated(&self, grace: Duration, now: Instant) -> bool {
+        let since = self.evacuated_since.get();
+        since.is_some_and(|since| now >= since + grace)
+    }
+
+    /// Treats the server as cold for `duration`, or for longer if it is already.
+    pub fn set_cold(&self, duration: Duration) {
+        let until = clock::now() + duration;
+        self.cold_until.set(self.cold_until.get().max(Some(until)));
+    }
+
+    /// Whether the server is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.get().is_some_and(|until| now < until)
+    }
+
     /// Records a failed connection attempt.
     pub fn record_unreachable(&self) {
         self.idle.borrow_mut().clear();
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -15,7 +15,7 @@
 use super::{Gateway, HeaderNames, caller};
 use crate::clock;
 use crate::fleet::{Vm, VmRole};
-use crate::settings::fleet::{EntrySettings, SettingsFile};
+use crate::settings::fleet::{DEFAULT_EVACUATION, EntrySettings, SettingsFile};
 use crate::settings::{StartError, bind};
 use crate::signals::Signals;
 use crate::timeline::{Event, Journal};
@@ -63,6 +63,9 @@
         role: VmRole::Entry,
     };
     gateway.drain.set(settings.drain);
+    gateway
+        .evacuation
+        .set(settings.evacuation.unwrap_or(DEFAULT_EVACUATION));
     gateway.routing.borrow_mut().local_vm = Some(local_vm.clone());
     journal.record(Event::new("gateway.started").zone(&settings.zone));
     let polling = control_poll::run(
@@ -143,6 +146,9 @@
             *seeds.borrow_mut() = settings.seeds().collect();
             gateway.budget.borrow_mut().update(&settings.retries);
             gateway.drain.set(settings.drain);
+            gateway
+                .evacuation
+                .set(settings.evacuation.unwrap_or(DEFAULT_EVACUATION));
         }
         polls = polls.wrapping_add(1);
         if polls.is_multiple_of(POLLS_PER_SWEEP) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,7 +35,7 @@
 use crate::fleet::load::LoadCounts;
 use crate::ids;
 use crate::notify::Notify;
-use crate::settings::fleet::{DEFAULT_DRAIN, Retries};
+use crate::settings::fleet::{DEFAULT_DRAIN, DEFAULT_EVACUATION, Retries};
 use crate::web::StopHandle;
 
 pub use head::HeaderNames;
@@ -56,6 +56,8 @@
     pub noticed: Notify,
     /// How long a server that leaves may still get requests.
     pub drain: Cell<Duration>,
+    /// Time after which the servers of an evacuated zone get no more requests.
+    pub evacuation: Cell<Duration>,
     /// Requests per key that were not yet reported to the control VMs.
     pub loads: RefCell<LoadCounts>,
     /// Asks caller connections to close.
@@ -94,6 +96,7 @@
             budget: RefCell::new(budget::RetryBudget::new(retries)),
             noticed: Notify::default(),
             drain: Cell::new(DEFAULT_DRAIN),
+            evacuation: Cell::new(DEFAULT_EVACUATION),
             loads: RefCell::default(),
             stop: StopHandle::default(),
             abort: StopHandle::default(),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -55,6 +55,10 @@
 /// Weight of a new sample in the average request time of a route.
 const EWMA_WEIGHT: f64 = 0.05;
 
+/// Share of the time that an evacuation may take for which owners of keys still get requests, so that
+/// their keys can move first.
+const OWNER_EVACUATION_RATIO: f64 = 0.5;
+
 /// Lower bound of an entry VM's share of a connection limit, so that it can work at all.
 const MIN_CONNECTIONS: u32 = 2;
 
@@ -364,6 +368,9 @@
                 if let Some(after) = selection::all_quiet_for(backends, &context) {
                     return Err(Some(Unavailable::Quiet(after)));
                 }
+                if selection::all_evacuated(backends, Duration::ZERO, &context) {
+                    return Err(Some(Unavailable::Evacuated));
+                }
             }
             if clock::now() >= until.min(self.deadline) {
                 return Err(None);
@@ -382,6 +389,11 @@
             0 => self.arrived_at + wait,
             _ => (self.arrived_at + wait).max(clock::now() + RETRY_OWNER_WAIT),
         };
+        let owner_grace = self
+            .gateway
+            .evacuation
+            .get()
+            .mul_f64(OWNER_EVACUATION_RATIO);
         loop {
             let now = clock::now();
             let unavailable = {
@@ -394,6 +406,14 @@
                     KeyOwner::Backend(_) if missed_until.is_some_and(|at| at > now) => {
                         Unavailable::Missed
                     }
+                    KeyOwner::Backend(b) if b.is_evacuated(owner_grace, now) => {
+                        let backends = routing.backends(&self.service);
+                        let context = self.selection_context(&routing);
+                        if selection::all_evacuated(backends, owner_grace, &context) {
+                            return Err(Unavailable::Evacuated);
+                        }
+                        Unavailable::Moving
+                    }
                     KeyOwner::Backend(b) if b.is_backing_off(now) => {
                         attempts::await_failover(&b, routing.lease(&self.service), now, until)?
                     }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -7,6 +7,8 @@
 
 use super::backend::Backend;
 use super::selection;
+use crate::clock;
+use crate::fleet::evacuation::ZoneEvacuation;
 use crate::fleet::leases;
 use crate::fleet::messages::RelativeLatency;
 use crate::fleet::updates::{RangeOwner, Updates};
@@ -36,6 +38,8 @@
     misses: HashMap<(ids::ServiceName, Key), Miss>,
     /// Running average of each route's request time, in seconds.
     pub(super) route_secs: HashMap<table::model::RouteName, f64>,
+    /// Evacuated zones, and since when this VM knows of each.
+    evacuated: HashMap<ids::ZoneName, Instant>,
 }
 
 /// Pause after an owner said that it doesn't hold a key; doubles with each further time.
@@ -100,6 +104,9 @@
         if changed {
             self.rebuild_services();
         }
+        if changed || !updates.evacuations.is_empty() {
+            self.mark_evacuated(updates.evacuations, updates.full);
+        }
         if updates.full {
             self.key_ranges.clear();
         }
@@ -248,6 +255,38 @@
         }
     }
 
+    /// Marks the servers of evacuated zones, and those of zones that were returned to service as cold.
+    ///
+    /// The servers of a zone may have started during its evacuation, so the end counts even if this VM
+    /// has not seen the start.
+    fn mark_evacuated(&mut self, changes: Vec<ZoneEvacuation>, full: bool) {
+        let now = clock::now();
+        if full {
+            let is_active = |zone: &str| changes.iter().any(|e| *e.zone == *zone && e.active);
+            self.evacuated.retain(|zone, _| is_active(zone));
+        }
+        for ZoneEvacuation { zone, active } in changes {
+            log::info!("event=gateway.evacuation zone={zone:?} active={active}");
+            if active {
+                self.evacuated.entry(zone).or_insert(now);
+                continue;
+            }
+            self.evacuated.remove(&zone);
+            let in_zone = self.backends.values().filter(|b| b.server().zone == zone);
+            in_zone.for_each(|b| b.set_cold(self.warmup(&b.server())));
+        }
+        for backend in self.backends.values() {
+            let since = self.evacuated.get(&backend.server().zone);
+            backend.set_evacuated(since.copied());
+        }
+    }
+
+    /// How long a server of a zone that was returned to service is cold.
+    fn warmup(&self, server: &Server) -> Duration {
+        // Part 3 adds the warm-up time of the service; until then the server's own first report counts.
+        server.warmup
+    }
+
     fn rebuild_services(&mut self) {
         self.services.clear();
         for backend in self.backends.values() {
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -56,7 +56,10 @@
     context: &SelectionContext<'_>,
 ) -> Option<Rc<Backend>> {
     let untried = |b: &&Rc<Backend>| !tried.iter().any(|t| Rc::ptr_eq(t, b));
-    let accepts = |b: &&Rc<Backend>| b.accepts_requests(context.drain, context.now);
+    let accepts = |b: &&Rc<Backend>| {
+        b.accepts_requests(context.drain, context.now)
+            && !b.is_evacuated(Duration::ZERO, context.now)
+    };
     let available = |b: &&Rc<Backend>| accepts(b) && has_capacity(b, context);
     let stays = |b: &&Rc<Backend>| !b.is_leaving();
     let responsive =
@@ -72,13 +75,28 @@
 /// Time until the first of the backend servers wants requests again; `None` if one of them does
 /// now, or none accepts requests at all.
 pub fn all_quiet_for(backends: &[Rc<Backend>], context: &SelectionContext<'_>) -> Option<Duration> {
-    let accepting = backends
-        .iter()
-        .filter(|b| b.accepts_requests(context.drain, context.now));
+    let accepting = backends.iter().filter(|b| {
+        b.accepts_requests(context.drain, context.now)
+            && !b.is_evacuated(Duration::ZERO, context.now)
+    });
     let first = accepting.map(|b| b.quiet_for(context.now)).min();
     first.filter(|first| !first.is_zero())
 }
 
+/// Whether all backend servers that accept requests have been in evacuated zones for `grace`, and
+/// there is one.
+pub fn all_evacuated(
+    backends: &[Rc<Backend>],
+    grace: Duration,
+    context: &SelectionContext<'_>,
+) -> bool {
+    let mut accepting = backends
+        .iter()
+        .filter(|b| b.accepts_requests(context.drain, context.now))
+        .peekable();
+    accepting.peek().is_some() && accepting.all(|b| b.is_evacuated(grace, context.now))
+}
+
 /// Whether a backend server can take another request.
 pub fn has_capacity(backend: &Backend, context: &SelectionContext<'_>) -> bool {
     let slots = f64::from(backend.server().slots.max(1));
--- a/src/gateway/tests/mock.rs
+++ b/src/gateway/tests/mock.rs
@@ -242,6 +242,7 @@
             servers,
             ranges: vec![owned_ranges(Some("owner"))],
             vms: Vec::new(),
+            evacuations: Vec::new(),
         };
         gateway.routing.borrow_mut().apply(updates);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -25,6 +25,9 @@
 /// Default of [`EntrySettings::drain`].
 pub const DEFAULT_DRAIN: Duration = Duration::from_secs(2);
 
+/// Default of [`EntrySettings::evacuation`].
+pub const DEFAULT_EVACUATION: Duration = Duration::from_secs(5);
+
 /// Settings of a control VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlSettings {
@@ -73,6 +76,14 @@
     /// How long a backend server that leaves may still get requests.
     #[serde(with = "clock::text", default = "default_drain")]
     pub drain: Duration,
+    /// Time after which the servers of an evacuated zone get no more requests;
+    /// [`DEFAULT_EVACUATION`] if absent or null.
+    #[serde(
+        default,
+        with = "clock::optional_text",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub evacuation: Option<Duration>,
     /// Log level and log file.
     #[serde(default)]
     pub log: Logging,
