Evacuation: tests of the decisions, an event only when the state changes

Change: a call that is sent again is written to the log and acknowledged, but no event is recorded for it.

--- a/src/fleet/evacuation.rs
+++ b/src/fleet/evacuation.rs
@@ -183,17 +183,20 @@
         if !known.contains(&zone) {
             return Ok(Outcome::UnknownZone(known));
         }
-        let event = match active {
-            true => Event::new("fleet.evacuate").zone(&zone),
-            false => Event::new("fleet.evacuate_end").zone(&zone),
+        let changes = self.with_fleet(|store| store.is_evacuated(&zone) != active);
+        let (kind, change) = if active {
+            let zone = Arc::clone(&zone);
+            ("fleet.evacuate", Change::Evacuate { zone })
+        } else {
+            let zone = Arc::clone(&zone);
+            ("fleet.evacuate_end", Change::EndEvacuation { zone })
         };
-        self.propose_fleet(match active {
-            true => Change::Evacuate { zone },
-            false => Change::EndEvacuation { zone },
-        })
-        .await?;
-        self.journal.record(event);
-        self.request_pass();
+        // A call that is sent again is proposed as well: its acknowledgement says that the log has it.
+        self.propose_fleet(change).await?;
+        if changes {
+            self.journal.record(Event::new(kind).zone(&zone));
+            self.request_pass();
+        }
         Ok(Outcome::Accepted)
     }
 }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,4 +1,5 @@
 mod calls;
+mod evacuation;
 mod grant_client;
 mod leases;
 mod plan;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -273,7 +273,7 @@
             }
             self.evacuated.remove(&zone);
             let in_zone = self.backends.values().filter(|b| b.server().zone == zone);
-            in_zone.for_each(|b| b.set_cold(self.warmup(&b.server())));
+            in_zone.for_each(|b| b.set_cold(b.server().warmup));
         }
         for backend in self.backends.values() {
             let since = self.evacuated.get(&backend.server().zone);
@@ -281,12 +281,6 @@
         }
     }
 
-    /// How long a server of a zone that was returned to service is cold.
-    fn warmup(&self, server: &Server) -> Duration {
-        // Part 3 adds the warm-up time of the service; until then the server's own first report counts.
-        server.warmup
-    }
-
     fn rebuild_services(&mut self) {
         self.services.clear();
         for backend in self.backends.values() {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod copy_model;
 mod endless;
+mod evacuation;
 mod head;
 mod mock;
 mod notices;
