--- a/src/gateway/tests/mock.rs
+++ b/src/gateway/tests/mock.rs
@@ -184,6 +184,7 @@
         max_connections: 100,
         sharded,
         delivery: crate::table::Delivery::Heartbeat,
+        warmup: None,
         source: Value::Null,
     })
 }
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -18,7 +18,7 @@
 pub use change::{Body, Change, Patch, Update};
 pub use lookup::Lookup;
 pub use model::{
-    Delivery, Destination, Idempotency, Limits, Route, Service, Table, WeightedService,
+    Delivery, Destination, Idempotency, Limits, Route, Service, Table, Warmup, WeightedService,
 };
 pub use store::{Outcome, Store};
 pub use validate::ValidationError;
--- a/src/table/model.rs
+++ b/src/table/model.rs
@@ -128,6 +128,17 @@
     Call,
 }
 
+/// How backend servers of a service are spared while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// How long a backend server is cold after its start.
+    #[serde(rename = "length", with = "clock::millis")]
+    pub duration: Duration,
+    /// Requests per second that a cold backend server can handle; above 0.
+    #[serde(rename = "per_second")]
+    pub requests_per_sec: f64,
+}
+
 /// A service that backend servers register for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -142,6 +153,9 @@
     /// How grants reach the key owners.
     #[serde(default)]
     pub delivery: Delivery,
+    /// How cold backend servers are spared; `None` if they get as many requests as others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warmup: Option<Warmup>,
     /// The service as received from the operator.
     #[serde(rename = "written", default, skip_serializing_if = "Value::is_null")]
     pub source: Value,
@@ -156,6 +170,7 @@
             max_connections: self.max_connections,
             sharded: self.sharded,
             delivery: self.delivery,
+            warmup: self.warmup,
             source: Value::Null,
         }
     }
--- a/src/table/tests.rs
+++ b/src/table/tests.rs
@@ -30,6 +30,7 @@
         max_connections: 10,
         sharded: false,
         delivery: super::Delivery::Heartbeat,
+        warmup: None,
         source: Value::Null,
     };
     Table {
