Fleet: servers that turn cold again, and the end of their coldness

A follower dropped heartbeats whose only news was the coldness of their server, and the leader ignored it. Both now pass it on, for services that limit cold servers: Change::Warmup sets the time again if a heartbeat reports a later end. Change::Warm ends the coldness in the log, without a message to entry VMs, so that those that start later don't take all servers for cold. The planner gives no keys to cold servers while warm ones have half of the capacity; the first assignment leaves out servers that accept no keys.

--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::cold::ColdServers;
 use super::delivery::Clients;
 use super::grant_client::CallFormat;
 use super::leases::{self, Leases};
@@ -116,6 +117,8 @@
     pub(super) delayed: RefCell<HashMap<Incarnation, Rc<Notify>>>,
     /// Smoothed relative latency of each backend server.
     pub(super) latencies: RefCell<HashMap<ids::ServerName, f64>>,
+    /// Until when backend servers are cold.
+    cold: RefCell<ColdServers>,
     /// Backend servers whose state is being set to draining, as they said that they leave.
     marking: RefCell<HashSet<Incarnation>>,
 }
@@ -141,6 +144,7 @@
             rebalanced: RefCell::default(),
             first_heartbeat: RefCell::default(),
             latencies: RefCell::default(),
+            cold: RefCell::default(),
             marking: RefCell::default(),
             pass_needed: Notify::default(),
             pass_requested: Cell::default(),
@@ -337,6 +341,7 @@
             self.run_pass(leading_since).await;
             if now >= cleaned + REBALANCE_INTERVAL {
                 cleaned = now;
+                self.record_warm().await;
                 self.prune_links(leading_since);
                 self.remove_silent(leading_since).await;
             }
@@ -446,13 +451,60 @@
         {
             return Err(RequestError::Malformed("another service or address".into()));
         }
-        match (registered.state, heartbeat.server.state) {
-            (ServerState::Ready, ServerState::Draining) => {
-                self.set_state(&registered.incarnation, ServerState::Draining)
-                    .await
-            }
-            _ => Ok(()),
+        if registered.state == ServerState::Ready && heartbeat.server.state == ServerState::Draining
+        {
+            self.set_state(&registered.incarnation, ServerState::Draining)
+                .await?;
         }
+        self.announce_warmup(&heartbeat.server).await
+    }
+
+    /// Records that the sender of a heartbeat is cold again, or longer than was known.
+    async fn announce_warmup(&self, server: &Server) -> Result<(), RequestError> {
+        if server.warmup.is_zero() || !self.limits_cold(&server.service) {
+            return Ok(());
+        }
+        let remaining = {
+            let mut cold = self.cold.borrow_mut();
+            self.with_fleet(|store| cold.news(store, server, clock::now()))
+        };
+        let Some(remaining) = remaining else {
+            return Ok(());
+        };
+        let event = Event::new("fleet.cold").server(&server.incarnation.server);
+        self.journal
+            .record(event.detail(&format!("{} ms", remaining.as_millis())));
+        self.propose_fleet(Change::Warmup {
+            incarnation: server.incarnation.clone(),
+            remaining,
+        })
+        .await
+    }
+
+    /// Records which backend servers are cold no longer.
+    ///
+    /// VMs that start or reconnect get the servers from the log, and would otherwise take all of
+    /// them for cold.
+    async fn record_warm(&self) {
+        let base = self.log.applied_index();
+        let incarnations = {
+            let mut cold = self.cold.borrow_mut();
+            let is_limited = |service: &str| self.limits_cold(service);
+            self.with_fleet(|store| cold.take_warm(store, is_limited, clock::now()))
+        };
+        if incarnations.is_empty() {
+            return;
+        }
+        let change = Change::Warm { incarnations, base };
+        if let Err(error) = self.propose_fleet(change).await {
+            ::log::warn!("event=fleet.warm refused={error:?}");
+        }
+    }
+
+    /// Whether a service limits the requests to cold backend servers.
+    pub(super) fn limits_cold(&self, service: &str) -> bool {
+        let table = self.state.table.borrow();
+        table.service(service).is_some_and(|s| s.warmup.is_some())
     }
 
     async fn set_state(
--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 
+use super::cold;
 use super::coordinator::{Coordinator, RequestError};
 use super::encoding::{self, EncodedUpdates};
 use super::load::LoadCounts;
@@ -223,7 +224,8 @@
     }
 
     /// Whether a heartbeat is of no interest to the leader now: its sender needs no lease, is
-    /// unchanged and had a heartbeat forwarded lately.
+    /// unchanged and had a heartbeat forwarded lately. Whether reported coldness is known is for
+    /// the leader to say.
     fn is_unchanged(&self, heartbeat: &Heartbeat) -> bool {
         let server = &heartbeat.server;
         let store = self.coordinator.state.fleet.borrow();
@@ -231,7 +233,7 @@
         let services = table.current().into_iter().flat_map(|t| &t.services);
         let unsharded = services
             .into_iter()
-            .any(|s| s.name == server.service && !s.sharded);
+            .any(|s| s.name == server.service && !s.sharded && !cold::reports_cold(s, server));
         let same = store.incarnation(&server.incarnation).is_some_and(|k| {
             k.state == ServerState::Ready
                 && k.state == server.state
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 //! that a server has ended: a network partition may cause it as well.
 
 pub mod call_leases;
+mod cold;
 pub mod coordinator;
 pub mod daemon;
 mod delivery;
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -54,6 +54,27 @@
     pub accepts_keys: bool,
 }
 
+/// Share of the capacity that warm candidates need to have for cold ones to get no keys: servers
+/// take about twice their usual load.
+const WARM_CAPACITY_RATIO: f64 = 0.5;
+
+/// Gives no more keys to candidates that are cold, as long as the warm ones have spare capacity.
+pub fn spare_cold<F>(candidates: &mut [Candidate], is_cold: F)
+where
+    F: Fn(&Incarnation) -> bool,
+{
+    let weights = candidates.iter().map(|c| c.weight);
+    let total: f64 = weights.sum();
+    let is_warm = |c: &&Candidate| c.accepts_keys && !is_cold(&c.incarnation);
+    let warm: f64 = candidates.iter().filter(is_warm).map(|c| c.weight).sum();
+    if warm < total * WARM_CAPACITY_RATIO {
+        return;
+    }
+    for candidate in candidates.iter_mut().filter(|c| is_cold(&c.incarnation)) {
+        candidate.accepts_keys = false;
+    }
+}
+
 /// A key range and its planned owner.
 #[derive(Clone, Debug)]
 struct PlannedRange {
@@ -119,17 +140,19 @@
 impl Plan<'_> {
     /// Assigns all keys anew, to each candidate by its weight.
     fn assign_all(&mut self) {
-        let total: f64 = self.candidates.iter().map(|c| c.weight).sum();
-        let rounds = INITIAL_RANGES / self.candidates.len().max(1);
+        let accepting = self.candidates.iter().enumerate();
+        let accepting: Vec<_> = accepting.filter(|(_, c)| c.accepts_keys).collect();
+        let total: f64 = accepting.iter().map(|(_, c)| c.weight).sum();
+        let rounds = INITIAL_RANGES / accepting.len().max(1);
         let rounds = rounds.clamp(MIN_INITIAL_RANGES, MAX_INITIAL_RANGES);
-        let final_turn = (rounds, self.candidates.len());
+        let final_turn = (rounds, accepting.len());
         let mut from = Some(0);
         self.ranges.clear();
         for round in 1..=rounds {
-            for (i, candidate) in self.candidates.iter().enumerate() {
+            for (turn, &(i, candidate)) in accepting.iter().enumerate() {
                 let Some(first) = from else { return };
                 let share = candidate.weight / total / to_f64(rounds);
-                let end = if (round, i + 1) == final_turn {
+                let end = if (round, turn + 1) == final_turn {
                     Some(Key::MAX)
                 } else {
                     self.shares.prefix_end(first, Key::MAX, share)
--- a/src/fleet/reassign.rs
+++ b/src/fleet/reassign.rs
@@ -39,7 +39,11 @@
                 let none = RangeMap::default();
                 let ranges = store.ranges(service).unwrap_or(&none);
                 let latencies = self.latencies.borrow();
-                let candidates = candidates(store, &leases, &latencies, service, now);
+                let spares_cold = self.limits_cold(service);
+                let mut candidates = candidates(store, &leases, &latencies, service, now);
+                if spares_cold {
+                    plan::spare_cold(&mut candidates, |i| is_cold(store, i));
+                }
                 plan::plan(ranges, &candidates, &shares, rebalance)
             })
         };
@@ -230,6 +234,12 @@
     ready.map(candidate).collect()
 }
 
+/// Whether the log has an incarnation as cold.
+fn is_cold(store: &Store, incarnation: &Incarnation) -> bool {
+    let server = store.incarnation(incarnation);
+    server.is_some_and(|s| !s.warmup.is_zero())
+}
+
 /// Lease on all ranges that an incarnation owns and that stay with it.
 pub(super) fn lease(
     store: &Store,
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::model::{Incarnation, Key, Server, ServerState, Vm};
 use super::ranges::{AssignedRange, Move, RangeMap};
+use crate::clock;
 use crate::ids;
 
 /// Servers in state [`ServerState::Gone`] that are kept, so that updates can report their end.
@@ -33,6 +35,25 @@
         #[serde(rename = "standing")]
         state: ServerState,
     },
+    /// Records that a backend server is cold again.
+    Warmup {
+        /// Incarnation of the server.
+        #[serde(rename = "life")]
+        incarnation: Incarnation,
+        /// How long it stays cold.
+        #[serde(with = "clock::millis")]
+        remaining: Duration,
+    },
+    /// Records that backend servers are cold no longer, unless they changed since.
+    ///
+    /// Entry VMs that know the servers are not told, as they know when the coldness ends.
+    Warm {
+        /// Incarnations of the servers.
+        #[serde(rename = "lives")]
+        incarnations: Vec<Incarnation>,
+        /// Log index that the change is based on.
+        base: ids::LogIndex,
+    },
     /// Names the next owners of key ranges.
     #[serde(rename = "release")]
     Reassign {
@@ -130,6 +151,15 @@
             }
             Change::Announce(server) => self.announce(index, server),
             Change::SetState { incarnation, state } => self.set_state(index, &incarnation, state),
+            Change::Warmup {
+                incarnation,
+                remaining,
+            } => self.set_warmup(index, &incarnation, remaining),
+            Change::Warm { incarnations, base } => {
+                for incarnation in incarnations {
+                    self.set_warm(&incarnation, base);
+                }
+            }
             Change::Reassign { service, ranges } => {
                 let moves = ranges.into_iter().flat_map(|(next, ranges)| {
                     ranges.into_iter().map(move |(from, to)| Move {
@@ -222,6 +252,28 @@
         self.prune_tombstones();
     }
 
+    fn set_warmup(&mut self, index: ids::LogIndex, incarnation: &Incarnation, warmup: Duration) {
+        if let Some(versioned) = self.present(incarnation) {
+            Arc::make_mut(&mut versioned.value).warmup = warmup;
+            versioned.changed = index;
+        }
+    }
+
+    fn set_warm(&mut self, incarnation: &Incarnation, base: ids::LogIndex) {
+        let present = self.present(incarnation);
+        if let Some(versioned) = present.filter(|v| v.changed <= base) {
+            Arc::make_mut(&mut versioned.value).warmup = Duration::ZERO;
+        }
+    }
+
+    /// The entry of an incarnation that is the present one and not gone.
+    fn present(&mut self, incarnation: &Incarnation) -> Option<&mut Versioned<Arc<Server>>> {
+        let versioned = self.servers.get_mut(&incarnation.server)?;
+        let server = &versioned.value;
+        let is_present = server.incarnation == *incarnation && server.state != ServerState::Gone;
+        is_present.then_some(versioned)
+    }
+
     fn prune_tombstones(&mut self) {
         let gone = |v: &Versioned<Arc<Server>>| v.value.state == ServerState::Gone;
         if self.servers.values().filter(|v| gone(v)).count() <= MAX_TOMBSTONES {
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,4 +1,5 @@
 mod calls;
+mod cold;
 mod grant_client;
 mod leases;
 mod plan;
