--- a/src/fleet/reassign.rs
+++ b/src/fleet/reassign.rs
@@ -42,7 +42,12 @@
                 let latencies = self.latencies.borrow();
                 let mut evacuations = self.evacuations.borrow_mut();
                 evacuations.update(store, now);
-                let candidates = candidates(store, &leases, &latencies, &evacuations, service, now);
+                let spares_cold = self.limits_cold(service);
+                let mut candidates =
+                    candidates(store, &leases, &latencies, &evacuations, service, now);
+                if spares_cold {
+                    plan::spare_cold(&mut candidates, |i| is_cold(store, i));
+                }
                 plan::plan(ranges, &candidates, &shares, rebalance)
             })
         };
@@ -239,6 +244,12 @@
     ready.map(candidate).collect()
 }
 
+/// Whether the log has an incarnation as cold.
+fn is_cold(store: &Store, incarnation: &Incarnation) -> bool {
+    let server = store.incarnation(incarnation);
+    server.is_some_and(|s| !s.warmup.is_zero())
+}
+
 /// Lease on all ranges that an incarnation owns and that stay with it.
 pub(super) fn lease(
     store: &Store,
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -13,6 +13,7 @@
 
 use super::backend_connection::BackendConnection;
 use super::head::ReportedLoad;
+use super::warmup::Limiter;
 use crate::clock;
 use crate::fleet::messages::RelativeLatency;
 use crate::fleet::{Server, ServerState};
@@ -81,13 +82,15 @@
     quiet_until: Cell<Option<Instant>>,
     /// Since when this VM knows that the zone of the server is evacuated.
     evacuated_since: Cell<Option<Instant>>,
-    cold_until: Cell<Option<Instant>>,
+    limiter: RefCell<Limiter>,
 }
 
 impl Backend {
     /// Creates the state of a newly discovered backend server.
     pub fn new(server: Arc<Server>) -> Rc<Self> {
         let now = clock::now();
+        let mut limiter = Limiter::default();
+        limiter.set_cold(server.warmup, now);
         Rc::new(Self {
             warm_at: now + server.warmup,
             server: RefCell::new(server),
@@ -109,7 +112,7 @@
             leaving_since: Cell::new(None),
             quiet_until: Cell::new(None),
             evacuated_since: Cell::new(None),
-            cold_until: Cell::new(None),
+            limiter: RefCell::new(limiter),
         })
     }
 
@@ -120,9 +123,25 @@
 
     /// Replaces the description of the same incarnation.
     pub fn update(&self, server: Arc<Server>) {
+        self.set_cold(server.warmup);
         *self.server.borrow_mut() = server;
     }
 
+    /// Limits the requests to the server for `duration`, if its service limits those to cold ones.
+    pub fn set_cold(&self, duration: Duration) {
+        self.limiter.borrow_mut().set_cold(duration, clock::now());
+    }
+
+    /// Whether the requests to the server are limited as it is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.limiter.borrow().is_cold(now)
+    }
+
+    /// Limit of the requests to the server while it is cold.
+    pub(super) fn limiter(&self) -> &RefCell<Limiter> {
+        &self.limiter
+    }
+
     /// Whether the server accepts requests.
     pub fn is_ready(&self) -> bool {
         self.server.borrow().state == ServerState::Ready
@@ -204,6 +223,7 @@
         self.silent_since
             .set(Some(now).filter(|_| self.in_flight.get() > 0));
         self.unreachable_since.set(None);
+        self.limiter.borrow_mut().record_response(now);
         self.overload_pause.set(self.overload_pause.get() / 2);
         if !failed {
             self.consecutive_failures.set(0);
@@ -303,20 +323,10 @@
         since.is_some_and(|since| now >= since + grace)
     }
 
-    /// Treats the server as cold for `duration`, or for longer if it is already.
-    pub fn set_cold(&self, duration: Duration) {
-        let until = clock::now() + duration;
-        self.cold_until.set(self.cold_until.get().max(Some(until)));
-    }
-
-    /// Whether the server is cold.
-    pub fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.get().is_some_and(|until| now < until)
-    }
-
     /// Records a failed connection attempt.
     pub fn record_unreachable(&self) {
         self.idle.borrow_mut().clear();
+        self.record_connection_lost();
         if self.unreachable_since.get().is_none() {
             self.unreachable_since.set(Some(clock::now()));
         }
@@ -325,6 +335,11 @@
         self.record_failure(true);
     }
 
+    /// Records that a connection broke or couldn't be opened, as after a restart of the server.
+    pub fn record_connection_lost(&self) {
+        self.limiter.borrow_mut().record_unreachable(clock::now());
+    }
+
     /// Records a request without a response; `backs_off` if the server may back off.
     ///
     /// Only its owner can serve a key, so slowness doesn't reduce the requests to an owner.
