Voters: number from the tolerance, placement by zone

The number is 2 x vms + 1 of the setting tolerance, 3 without it. Replica, JoinRequest and ProbeResponse carry an optional zone; members of older data report theirs.

--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -25,10 +25,6 @@
 use crate::timeline::{Event, Journal};
 use crate::web;
 
-/// Number of voting control VMs: one may fail, and if a partition splits four VMs in half, one
-/// half has a majority of the voters.
-const VOTERS: usize = 3;
-
 /// Time between heartbeats of the log's leader; each costs traffic between zones.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -140,7 +136,8 @@
         discovery: Some(log::Discovery {
             address: settings.peer,
             may_bootstrap: settings.founding,
-            voter_count: VOTERS,
+            voter_count: settings.voter_count(),
+            zone: Some(Arc::clone(&settings.zone)),
         }),
     };
     let tuning = log::Tuning {
--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -154,6 +154,14 @@
         membership::leader_address(&self.node.state())
     }
 
+    /// Zones of the replicas as the membership has them.
+    #[cfg(test)]
+    pub(super) fn zones(&self) -> Vec<Option<ids::ZoneName>> {
+        let state = self.node.state();
+        let replicas = state.log.membership().into_iter().flat_map(|m| &m.replicas);
+        replicas.map(|r| r.zone.clone()).collect()
+    }
+
     /// Replaces the VMs to contact when this replica needs to find its cluster.
     pub fn set_seeds(&self, seeds: Vec<Member>) {
         *self.node.seeds.borrow_mut() = seeds;
--- a/src/log/membership.rs
+++ b/src/log/membership.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::Member;
 use super::messages::{self, JoinRequest, JoinResponse, ProbeRequest, ProbeResponse};
@@ -18,6 +18,7 @@
 use super::node::Node;
 use super::replication;
 use super::state::{Role, State};
+use super::voters;
 use crate::clock;
 use crate::ids;
 use crate::rpc::Peer;
@@ -31,13 +32,23 @@
 /// Time without a leader after which a replica asks to join again: several elections.
 const ISOLATED_AFTER: Duration = Duration::from_secs(3);
 
+/// Time between reports of a zone that the membership does not have; an older leader ignores them.
+const ZONE_REPORT_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Time between checks whether a membership change can be made or is committed.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Bootstraps or joins a cluster whenever this replica is no voter, until the log stops.
 pub(super) async fn maintain_membership(node: Rc<Node>) {
+    let mut reported: Option<Instant> = None;
     while !node.stopped() {
-        if needs_vote(&node) || is_isolated(&node) {
+        let now = clock::now();
+        let report_due = reported.is_none_or(|at| now >= at + ZONE_REPORT_INTERVAL);
+        let reports_zone = report_due && has_unrecorded_zone(&node);
+        if reports_zone {
+            reported = Some(now);
+        }
+        if needs_vote(&node) || is_isolated(&node) || reports_zone {
             find_cluster(&node).await;
         }
         monoio::time::sleep(CHECK_INTERVAL).await;
@@ -63,6 +74,20 @@
     node.config.discovery.is_some() && state.role != Role::Leader && timed_out
 }
 
+/// Whether this replica is a member whose zone in the membership is not that of the settings.
+fn has_unrecorded_zone(node: &Node) -> bool {
+    let state = node.state();
+    let membership = state.log.membership();
+    let own = membership.and_then(|m| m.replica(&state.id));
+    let zone = own_zone(node);
+    zone.is_some() && state.role != Role::Leader && own.is_some_and(|r| r.zone != zone)
+}
+
+/// Availability zone of this VM, if the settings give it.
+pub(super) fn own_zone(node: &Node) -> Option<ids::ZoneName> {
+    node.config.discovery.as_ref()?.zone.clone()
+}
+
 async fn find_cluster(node: &Rc<Node>) {
     let responses = probe_all(node, None).await;
     if responses.iter().flatten().any(|r| r.bootstrapped) {
@@ -84,10 +109,10 @@
 fn is_bootstrapper(node: &Node, responses: &[Option<ProbeResponse>]) -> bool {
     let seeds = node.seeds.borrow();
     let first = seeds.iter().map(|m| &m.vm).min() == Some(&node.config.vm);
-    let may_bootstrap = |d: super::Discovery| {
+    let may_bootstrap = |d: &super::Discovery| {
         d.may_bootstrap || responses.iter().flatten().any(|r| r.may_bootstrap)
     };
-    first && node.config.discovery.is_none_or(may_bootstrap)
+    first && node.config.discovery.as_ref().is_none_or(may_bootstrap)
 }
 
 fn all_uninitialized(node: &Node, responses: &[Option<ProbeResponse>]) -> bool {
@@ -126,6 +151,7 @@
         id: Arc::default(),
         address: member.address,
         voter: false,
+        zone: None,
     })
 }
 
@@ -139,7 +165,8 @@
     let request = JoinRequest {
         vm: Arc::clone(&node.config.vm),
         replica: Arc::clone(&node.state().id),
-        address: node.config.discovery.map(|d| d.address),
+        address: node.config.discovery.as_ref().map(|d| d.address),
+        zone: own_zone(node),
     };
     let others = others(node);
     for response in responses.iter().flatten().filter(|r| r.bootstrapped) {
@@ -168,19 +195,18 @@
 
 /// Writes the first entry, which holds the initial membership; an election follows at once.
 async fn bootstrap(node: &Node, responses: Vec<ProbeResponse>) {
-    let ids: Vec<_> = responses.into_iter().map(|r| (r.vm, r.replica)).collect();
     {
         let mut state = node.state_mut();
         let own = Arc::clone(&state.id);
-        let id_of = |vm: &ids::VmName| {
-            let found = ids.iter().find(|(v, _)| v == vm);
-            found.map_or_else(|| Arc::clone(&own), |(_, id)| Arc::clone(id))
-        };
-        let replica = |m: &Member| Replica {
-            vm: Arc::clone(&m.vm),
-            id: id_of(&m.vm),
-            address: m.address,
-            voter: true,
+        let replica = |m: &Member| {
+            let other = responses.iter().find(|r| r.vm == m.vm);
+            Replica {
+                vm: Arc::clone(&m.vm),
+                id: other.map_or_else(|| Arc::clone(&own), |r| Arc::clone(&r.replica)),
+                address: m.address,
+                voter: true,
+                zone: other.map_or_else(|| own_zone(node), |r| r.zone.clone()),
+            }
         };
         let replicas = node.seeds.borrow().iter().map(replica).collect();
         let term = state.term().saturating_add(1);
@@ -218,7 +244,12 @@
         vm: Arc::clone(&node.config.vm),
         replica: Arc::clone(&state.id),
         bootstrapped,
-        may_bootstrap: node.config.discovery.is_some_and(|d| d.may_bootstrap),
+        may_bootstrap: node
+            .config
+            .discovery
+            .as_ref()
+            .is_some_and(|d| d.may_bootstrap),
+        zone: own_zone(node),
     }
 }
 
@@ -248,6 +279,7 @@
             id: request.replica,
             address,
             voter: false,
+            zone: request.zone,
         };
         monoio::spawn(add_replica(Rc::clone(node), replica, term));
     }
@@ -316,12 +348,11 @@
 fn has_enough_voters(node: &Node) -> bool {
     let state = node.state();
     let voters = state.log.membership().map_or(0, |m| m.voters().count());
-    node.config
-        .discovery
-        .is_some_and(|d| voters >= d.voter_count)
+    let is_enough = |d: &super::Discovery| voters >= voters::target(&state, d.voter_count);
+    node.config.discovery.as_ref().is_some_and(is_enough)
 }
 
-/// Adds a learner; it replaces another learner of the same VM.
+/// Adds a learner; it replaces another learner of the same VM. Updates the zone of a member.
 pub(super) fn with_learner(membership: &Membership, replica: &Replica) -> Membership {
     let mut membership = membership.clone();
     if membership.replica(&replica.id).is_none() {
@@ -333,9 +364,19 @@
             ..replica.clone()
         });
     }
+    if let Some(zone) = &replica.zone {
+        set_zone(&mut membership, &replica.id, zone);
+    }
     membership
 }
 
+/// Sets the zone of a replica.
+pub(super) fn set_zone(membership: &mut Membership, id: &ReplicaId, zone: &ids::ZoneName) {
+    for replica in membership.replicas.iter_mut().filter(|r| r.id == *id) {
+        replica.zone = Some(Arc::clone(zone));
+    }
+}
+
 /// Removes the lost voter of a VM once the new replica has all committed entries.
 pub(super) fn without_replaced(state: &State, membership: &Membership, replica: &Replica) -> Edit {
     if !has_caught_up(state, replica) {
--- a/src/log/messages.rs
+++ b/src/log/messages.rs
@@ -194,6 +194,9 @@
     /// Whether the VM knows that no cluster was ever bootstrapped.
     #[serde(default, rename = "founding")]
     pub may_bootstrap: bool,
+    /// Availability zone of the VM, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ids::ZoneName>,
 }
 
 /// Asks the leader to add a replica to the membership.
@@ -208,6 +211,9 @@
     /// Address of the VM's control daemon, in a cluster with discovery.
     #[serde(default)]
     pub address: Option<SocketAddr>,
+    /// Availability zone of the VM, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ids::ZoneName>,
 }
 
 /// Response to a [`JoinRequest`].
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -25,6 +25,7 @@
 mod memory_log;
 mod node;
 mod oneshot;
+mod placement;
 mod replication;
 mod segment;
 mod snapshots;
@@ -77,14 +78,16 @@
 }
 
 /// Settings of a cluster whose VMs find each other through seeds; the address of a VM is its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Discovery {
     /// Address of the control daemon on this VM.
     pub address: SocketAddr,
     /// Whether this VM knows that no cluster was ever bootstrapped.
     pub may_bootstrap: bool,
-    /// Number of voters; the other replicas are learners, one of which replaces a lost voter.
+    /// Wanted number of voters; the other replicas are learners, one of which replaces a lost voter.
     pub voter_count: usize,
+    /// Availability zone of this VM; voters are placed in different zones.
+    pub zone: Option<ids::ZoneName>,
 }
 
 /// Limits and timeouts.
@@ -201,7 +204,7 @@
     monoio::spawn(election::run_elections(Rc::clone(node)));
     monoio::spawn(membership::maintain_membership(Rc::clone(node)));
     monoio::spawn(snapshots::take_snapshots(Rc::clone(node)));
-    if let Some(discovery) = node.config.discovery {
+    if let Some(discovery) = node.config.discovery.clone() {
         monoio::spawn(voters::maintain_voters(Rc::clone(node), discovery));
     }
 }
--- a/src/log/model.rs
+++ b/src/log/model.rs
@@ -23,6 +23,9 @@
     pub address: SocketAddr,
     /// Whether the replica counts for elections and commits.
     pub voter: bool,
+    /// Availability zone of the VM, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ids::ZoneName>,
 }
 
 /// All replicas of a cluster.
--- a/src/log/tests/discovery.rs
+++ b/src/log/tests/discovery.rs
@@ -9,6 +9,7 @@
 use tempfile::TempDir;
 
 use super::harness::{self, Applied, until};
+use crate::ids;
 use crate::log::{self, Config, Discovery, Handle, Member, Role, Tuning};
 use crate::rpc;
 use crate::runtime;
@@ -18,8 +19,10 @@
 type RunningReplica = Rc<RefCell<Option<Handle>>>;
 
 /// A VM whose name is its address.
-struct Vm {
-    address: SocketAddr,
+pub(super) struct Vm {
+    pub(super) address: SocketAddr,
+    pub(super) zone: Option<ids::ZoneName>,
+    voter_count: usize,
     dir: TempDir,
     running: RunningReplica,
     applied: Applied,
@@ -28,7 +31,7 @@
 }
 
 impl Vm {
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let running = RunningReplica::default();
@@ -47,6 +50,8 @@
         monoio::spawn(rpc::serve(listener, journal, handler));
         Self {
             address,
+            zone: None,
+            voter_count: 3,
             dir: TempDir::new().unwrap(),
             running,
             applied: Applied::default(),
@@ -54,13 +59,26 @@
         }
     }
 
+    pub(super) fn in_zone(zone: &str, voter_count: usize) -> Self {
+        Self {
+            zone: Some(zone.into()),
+            voter_count,
+            ..Self::new()
+        }
+    }
+
+    /// Removes the data directory of a stopped replica.
+    pub(super) fn wipe(&self) {
+        std::fs::remove_dir_all(self.dir.path().join("data")).unwrap();
+    }
+
     fn event_count(&self, kind: &str) -> usize {
         let journal = self.journal.borrow();
         let events = journal.iter().flat_map(|j| j.events_after(0));
         events.filter(|e| &*e.kind == kind).count()
     }
 
-    fn start(&self, seeds: &[&Self], may_bootstrap: bool) {
+    pub(super) fn start(&self, seeds: &[&Self], may_bootstrap: bool) {
         self.start_tuned(seeds, may_bootstrap, Tuning::default());
     }
 
@@ -76,7 +94,8 @@
             discovery: Some(Discovery {
                 address: self.address,
                 may_bootstrap,
-                voter_count: 3,
+                voter_count: self.voter_count,
+                zone: self.zone.clone(),
             }),
         };
         self.applied.borrow_mut().clear();
@@ -87,32 +106,32 @@
         *self.running.borrow_mut() = Some(handle);
     }
 
-    fn kill(&self) {
+    pub(super) fn kill(&self) {
         if let Some(handle) = self.running.borrow_mut().take() {
             handle.stop();
         }
     }
 
-    fn handle(&self) -> Handle {
+    pub(super) fn handle(&self) -> Handle {
         self.running.borrow().clone().unwrap()
     }
 
-    fn leads(&self) -> bool {
+    pub(super) fn leads(&self) -> bool {
         let handle = self.running.borrow().clone();
         handle.is_some_and(|h| h.leading_since().is_some())
     }
 
-    fn has_applied(&self, commands: usize) -> bool {
+    pub(super) fn has_applied(&self, commands: usize) -> bool {
         self.applied.borrow().len() == commands
     }
 }
 
-async fn leader<'a>(vms: &[&'a Vm]) -> &'a Vm {
+pub(super) async fn leader<'a>(vms: &[&'a Vm]) -> &'a Vm {
     until("a leader", || vms.iter().any(|v| v.leads())).await;
     vms.iter().find(|v| v.leads()).unwrap()
 }
 
-async fn propose(vms: &[&Vm], text: &str) {
+pub(super) async fn propose(vms: &[&Vm], text: &str) {
     loop {
         let leader = leader(vms).await;
         if leader
@@ -128,7 +147,7 @@
 }
 
 /// Waits until the committed membership has exactly these voters.
-async fn wait_for_voters(vms: &[&Vm], expected: &[&Vm]) {
+pub(super) async fn wait_for_voters(vms: &[&Vm], expected: &[&Vm]) {
     until("the voters", || {
         let Some(leader) = vms.iter().find(|v| v.leads()) else {
             return false;
--- a/src/log/tests/faults.rs
+++ b/src/log/tests/faults.rs
@@ -331,6 +331,7 @@
                 vm: cluster.handle(vm).status().vm,
                 replica: "another".into(),
                 address: None,
+                zone: None,
             };
             let response: JoinResponse = call(&cluster, leader, messages::JOIN, &request).await;
             assert!(!response.accepted, "{vm}");
--- a/src/log/tests/mod.rs
+++ b/src/log/tests/mod.rs
@@ -4,6 +4,8 @@
 mod discovery;
 mod faults;
 mod harness;
+mod losses;
+mod placement;
 mod slow_snapshot;
 mod state;
 mod storage;
--- a/src/log/tests/state.rs
+++ b/src/log/tests/state.rs
@@ -14,6 +14,7 @@
         id: Arc::from(*id),
         address: ([127, 0, 0, 1], 1).into(),
         voter: true,
+        zone: None,
     };
     Membership {
         cluster_id: "a".into(),
@@ -111,6 +112,7 @@
         id: "c2".into(),
         address: ([127, 0, 0, 1], 1).into(),
         voter: true,
+        zone: None,
     };
     let voters = |m: &Membership| -> Vec<_> { m.voters().map(|r| Arc::clone(&r.id)).collect() };
     let with_new = with_learner(&membership(&["a", "b", "c"]), &new);
--- a/src/log/tests/storage.rs
+++ b/src/log/tests/storage.rs
@@ -35,6 +35,7 @@
         id: format!("disk{number}").into(),
         address: ([127, 0, 0, 1], 4000 + u16::from(number)).into(),
         voter: number.is_multiple_of(2),
+        zone: (number < 128).then(|| format!("zone{number}").into()),
     };
     Membership {
         cluster_id: "founder".into(),
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -25,6 +25,9 @@
 /// Default of [`EntrySettings::drain`].
 pub const DEFAULT_DRAIN: Duration = Duration::from_secs(2);
 
+/// Control VMs that may be lost at once if the settings don't say it.
+const DEFAULT_LOST_VMS: u16 = 1;
+
 /// Settings of a control VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlSettings {
@@ -45,11 +48,25 @@
     /// Longest lease of a backend server.
     #[serde(with = "clock::text")]
     pub lease: Duration,
+    /// What may be lost at the same time without a loss of data or service.
+    #[serde(default)]
+    pub tolerance: Option<Tolerance>,
     /// Log level and log file.
     #[serde(default)]
     pub log: Logging,
 }
 
+/// What may be lost at the same time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tolerance {
+    /// Number of control VMs, with their disks.
+    #[serde(default)]
+    pub vms: Option<u16>,
+    /// Number of availability zones.
+    #[serde(default)]
+    pub zones: Option<u16>,
+}
+
 /// Settings of an entry VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntrySettings {
@@ -97,6 +114,15 @@
 impl Eq for Retries {}
 
 impl ControlSettings {
+    /// Number of control VMs that should vote: a majority survives what may be lost at once.
+    ///
+    /// A zone counts as one VM, since the voters are spread over the zones.
+    pub fn voter_count(&self) -> usize {
+        let Tolerance { vms, zones } = self.tolerance.unwrap_or_default();
+        let lost = vms.max(zones).unwrap_or(DEFAULT_LOST_VMS);
+        usize::from(lost).saturating_mul(2).saturating_add(1)
+    }
+
     /// RPC addresses of the seeds.
     pub fn seeds(&self) -> impl Iterator<Item = SocketAddr> {
         rpc_addresses(&self.seeds, self.peer)
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -159,3 +159,20 @@
         "{message}"
     );
 }
+
+/// Guards against a number of voters that ignores what may be lost at once.
+#[test]
+fn the_number_of_voters_follows_from_the_tolerance() {
+    let voters = |tolerance: &str| {
+        let text = fleet_text("10.0.0.2:80").replace("\"lease\"", &format!("{tolerance}\"lease\""));
+        let settings: super::fleet::ControlSettings = serde_json::from_str(&text).unwrap();
+        settings.voter_count()
+    };
+    assert_eq!(voters(""), 3);
+    assert_eq!(voters(r#""tolerance":null,"#), 3);
+    assert_eq!(voters(r#""tolerance":{"vms":null,"zones":null},"#), 3);
+    assert_eq!(voters(r#""tolerance":{"vms":0,"zones":0},"#), 1);
+    assert_eq!(voters(r#""tolerance":{"vms":0,"zones":1},"#), 3);
+    assert_eq!(voters(r#""tolerance":{"vms":1},"#), 3);
+    assert_eq!(voters(r#""tolerance":{"vms":2,"zones":1},"#), 5);
+}
