Log: bounded by bytes; a route's source is kept as text

A route's source is compact JSON text instead of parsed JSON; stored and sent bytes are unchanged. A new table shares equal routes with the old one. A table over 4 MiB is refused with 400 before it reaches the log; request bodies end at 4 MiB instead of 16.

--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -101,6 +101,9 @@
             "the change is too large",
             false,
         ),
+        ProposeError::Backlog => {
+            error_response(StatusCode::SERVICE_UNAVAILABLE, &error.to_string(), false)
+        }
         ProposeError::OutcomeUnknown => error_response(
             StatusCode::GATEWAY_TIMEOUT,
             "leadership was lost meanwhile; the change may still be accepted, send it again with the same id",
--- a/src/control/propose.rs
+++ b/src/control/propose.rs
@@ -38,6 +38,7 @@
             ..Fault::new(error::NOT_LEADER, &message)
         },
         ProposeError::TooLarge => Fault::new(error::BAD_REQUEST, &message),
+        ProposeError::Backlog => Fault::new(error::REFUSED, &message),
         ProposeError::OutcomeUnknown => Fault::new(error::OUTCOME_UNKNOWN, &message),
         ProposeError::Stopped => Fault::new(error::NOT_LEADER, &message),
     }
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -78,6 +78,8 @@
     Unsure,
     /// The request is invalid.
     Malformed(Arc<str>),
+    /// The request had no effect because it can't be stored now; holds the reason.
+    Unavailable(Arc<str>),
 }
 
 impl fmt::Display for RequestError {
@@ -86,6 +88,7 @@
             Self::NotLeader => f.write_str("this VM does not lead"),
             Self::Unsure => f.write_str("it may or may not have been done"),
             Self::Malformed(reason) => write!(f, "malformed: {reason}"),
+            Self::Unavailable(reason) => f.write_str(reason),
         }
     }
 }
@@ -158,6 +161,13 @@
         change: table::Change,
     ) -> Result<table::Outcome, RequestError> {
         let version = change.version;
+        let size = table::size::check(self.state.table.borrow().current().map(|t| &**t), &change);
+        if let Err(error) = size {
+            let detail = format!("version {version} {error}");
+            self.journal
+                .record(Event::new("table.too_large").detail(&detail));
+            return Err(RequestError::Malformed(error.to_string().into()));
+        }
         match self.propose(Command::Table(change)).await? {
             Applied::Table(outcome) => {
                 let detail = format!("version {version} {outcome:?}");
@@ -476,6 +486,7 @@
         applied.map_err(|e| match e {
             log::ProposeError::NotLeader { .. } => RequestError::NotLeader,
             log::ProposeError::TooLarge => RequestError::Malformed(e.to_string().into()),
+            log::ProposeError::Backlog => RequestError::Unavailable(e.to_string().into()),
             log::ProposeError::OutcomeUnknown | log::ProposeError::Stopped => RequestError::Unsure,
         })
     }
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -22,6 +22,7 @@
 use crate::settings::fleet::{ControlSettings, SettingsFile};
 use crate::settings::{StartError, bind};
 use crate::signals::Signals;
+use crate::table;
 use crate::timeline::{Event, Journal};
 use crate::web;
 
@@ -44,8 +45,8 @@
 /// Time for requests in flight to finish when the daemon stops.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum size of a change of the routing table: thousands of routes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum size of a change of the routing table: more than any table that can be stored.
+const MAX_BODY_BYTES: usize = table::size::MAX_BYTES;
 
 /// Maximum number of connections, well below the limit of file descriptors of a process.
 const MAX_CONNECTIONS: usize = 2000;
--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -453,6 +453,7 @@
         RequestError::NotLeader => error::NOT_LEADER,
         RequestError::Unsure => error::OUTCOME_UNKNOWN,
         RequestError::Malformed(_) => error::BAD_REQUEST,
+        RequestError::Unavailable(_) => error::REFUSED,
     };
     Fault::new(code, &error.to_string())
 }
@@ -462,6 +463,9 @@
         CallError::Fault(fault) if fault.code == error::BAD_REQUEST => {
             RequestError::Malformed(Arc::clone(&fault.message))
         }
+        CallError::Fault(fault) if fault.code == error::REFUSED => {
+            RequestError::Unavailable(Arc::clone(&fault.message))
+        }
         CallError::Fault(fault) if fault.code == error::NOT_LEADER => RequestError::NotLeader,
         CallError::Unreachable(_) => RequestError::NotLeader,
         CallError::Fault(_)
--- a/src/gateway/tests/mock.rs
+++ b/src/gateway/tests/mock.rs
@@ -174,7 +174,7 @@
         rank: 1,
         max_attempts: 2,
         destination: Destination::Service(service.into()),
-        source: Value::Null,
+        source: crate::table::Source::default(),
     })
 }
 
--- a/src/log/error.rs
+++ b/src/log/error.rs
@@ -92,6 +92,8 @@
     },
     /// The command is too large for the log; nothing was appended.
     TooLarge,
+    /// Too many bytes of the log are not covered by a snapshot; nothing was appended.
+    Backlog,
     /// The command was appended and may still commit.
     OutcomeUnknown,
     /// The log has stopped on this VM.
@@ -104,6 +106,7 @@
             Self::NotLeader { leader: Some(vm) } => write!(f, "{vm} leads"),
             Self::NotLeader { leader: None } => f.write_str("no leader is known"),
             Self::TooLarge => f.write_str("the command is too large"),
+            Self::Backlog => f.write_str("the log is full until its next snapshot is stored"),
             Self::OutcomeUnknown => f.write_str("it may yet commit"),
             Self::Stopped => f.write_str("the log has stopped"),
         }
--- a/src/log/memory_log.rs
+++ b/src/log/memory_log.rs
@@ -7,6 +7,9 @@
 use super::model::{Body, Entry, Membership, Snapshot};
 use crate::ids;
 
+/// Size of an entry in memory without its command.
+const ENTRY_BYTES: usize = size_of::<Entry>();
+
 /// A membership and the index of the entry or snapshot that holds it.
 #[derive(Clone, Debug)]
 struct MembershipRecord {
@@ -20,6 +23,10 @@
     /// Index and term of the entry before the first one in memory.
     base: (ids::LogIndex, ids::LogTerm),
     entries: VecDeque<Entry>,
+    /// Size of `entries`.
+    bytes: usize,
+    /// Size of the entries after the snapshot.
+    uncovered_bytes: usize,
     memberships: Vec<MembershipRecord>,
     snapshot: Option<Arc<Snapshot>>,
     /// Entries not yet handed to the writer thread.
@@ -65,6 +72,24 @@
         self.synced_index
     }
 
+    /// Size of the entries in memory.
+    #[cfg(test)]
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Size of the entries after the newest snapshot.
+    pub(super) fn uncovered_bytes(&self) -> usize {
+        self.uncovered_bytes
+    }
+
+    /// Size of the entries after the newest snapshot up to `index`.
+    pub(super) fn uncovered_bytes_to(&self, index: ids::LogIndex) -> usize {
+        let first = self.snapshot_index().max(self.base.0).saturating_add(1);
+        let entries = (first..=index).map_while(|i| self.get(i));
+        entries.map(entry_bytes).sum()
+    }
+
     /// Newest snapshot.
     pub(super) fn snapshot(&self) -> Option<&Arc<Snapshot>> {
         self.snapshot.as_ref()
@@ -113,15 +138,20 @@
                 membership: membership.clone(),
             });
         }
+        let bytes = entry_bytes(&entry);
+        self.bytes += bytes;
+        self.uncovered_bytes += bytes;
         self.unsynced.push(entry.clone());
         self.entries.push_back(entry);
     }
 
     /// Removes the entry at `index` and all later ones.
     pub(super) fn truncate_from(&mut self, index: ids::LogIndex) {
-        self.entries.truncate(
-            usize::try_from(index.saturating_sub(self.base.0).saturating_sub(1)).unwrap_or(0),
-        );
+        while let Some(last) = self.entries.pop_back_if(|e| e.index >= index) {
+            let bytes = entry_bytes(&last);
+            self.bytes = self.bytes.saturating_sub(bytes);
+            self.uncovered_bytes = self.uncovered_bytes.saturating_sub(bytes);
+        }
         self.memberships.retain(|r| r.index < index);
         self.synced_index = self.synced_index.min(index.saturating_sub(1));
         self.truncations += 1;
@@ -155,11 +185,25 @@
         })
     }
 
-    /// Stores a snapshot of this replica and drops entries more than `trailing` before its end.
-    pub(super) fn compact(&mut self, snapshot: Arc<Snapshot>, trailing: u64) {
+    /// Stores a snapshot of this replica and drops the entries that it covers, except the last
+    /// `trailing` ones and of these the last `trailing_bytes`.
+    pub(super) fn compact(
+        &mut self,
+        snapshot: Arc<Snapshot>,
+        trailing: u64,
+        trailing_bytes: usize,
+    ) {
         let until = snapshot.index.saturating_sub(trailing);
-        while let Some(first) = self.entries.front().filter(|e| e.index <= until) {
+        let uncovered = self.entries.iter().rev();
+        let uncovered = uncovered.take_while(|e| e.index > snapshot.index);
+        self.uncovered_bytes = uncovered.map(entry_bytes).sum();
+        let most_bytes = self.uncovered_bytes.saturating_add(trailing_bytes);
+        while let Some(first) = self.entries.front().filter(|e| e.index <= snapshot.index) {
+            if first.index > until && self.bytes <= most_bytes {
+                break;
+            }
             self.base = (first.index, first.term);
+            self.bytes = self.bytes.saturating_sub(entry_bytes(first));
             self.entries.pop_front();
         }
         let current = self
@@ -174,6 +218,8 @@
     pub(super) fn reset(&mut self, snapshot: Arc<Snapshot>) {
         self.base = (snapshot.index, snapshot.term);
         self.entries.clear();
+        self.bytes = 0;
+        self.uncovered_bytes = 0;
         self.unsynced.clear();
         self.memberships = vec![MembershipRecord {
             index: snapshot.index,
@@ -184,3 +230,11 @@
         self.snapshot = Some(snapshot);
     }
 }
+
+/// Size of an entry in memory.
+fn entry_bytes(entry: &Entry) -> usize {
+    match &entry.body {
+        Body::Command(payload) => ENTRY_BYTES + payload.len(),
+        Body::Noop | Body::Membership(_) => ENTRY_BYTES,
+    }
+}
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -55,6 +55,12 @@
 /// Default for [`Tuning::trailing_entries`].
 pub const TRAILING_ENTRIES: u64 = 1024;
 
+/// Default for [`Tuning::snapshot_bytes`].
+pub const SNAPSHOT_BYTES: usize = 8 << 20;
+
+/// Default for [`Tuning::trailing_bytes`].
+pub const TRAILING_BYTES: usize = 4 << 20;
+
 /// A control VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -97,6 +103,11 @@
     pub snapshot_entries: u64,
     /// Entries covered by the snapshot that stay in memory, for followers slightly behind.
     pub trailing_entries: u64,
+    /// Bytes of entries applied since the last snapshot after which the next one is taken, unless
+    /// that snapshot is larger: then its size counts.
+    pub snapshot_bytes: usize,
+    /// Bytes of the entries that stay in memory at most, with `trailing_entries`.
+    pub trailing_bytes: usize,
     /// Time between heartbeats of a leader to a replica.
     pub heartbeat_interval: Duration,
     /// Shortest time without a leader before an election; the actual time is random, up to twice
@@ -111,6 +122,8 @@
         Self {
             snapshot_entries: SNAPSHOT_ENTRIES,
             trailing_entries: TRAILING_ENTRIES,
+            snapshot_bytes: SNAPSHOT_BYTES,
+            trailing_bytes: TRAILING_BYTES,
             heartbeat_interval: replication::HEARTBEAT_INTERVAL,
             election_timeout: state::ELECTION_TIMEOUT,
             startup_timeout: state::ELECTION_TIMEOUT,
--- a/src/log/node.rs
+++ b/src/log/node.rs
@@ -18,10 +18,14 @@
 use crate::rpc;
 use crate::timeline::{Event, Journal};
 
-/// Longest time that a task waits to be woken.
 /// Largest command; base64 of it fits into a frame between replicas.
 pub(super) const MAX_COMMAND_BYTES: usize = 32 << 20;
 
+/// Factor of the size at which a snapshot is due, above which a leader accepts no proposals: the
+/// snapshot is not finished in time or can't be written.
+const BACKLOG_FACTOR: usize = 4;
+
+/// Longest time that a task waits to be woken.
 pub(super) const MAX_WAIT: Duration = Duration::from_millis(50);
 
 /// This VM's replica of the log.
@@ -78,6 +82,14 @@
         self.state.borrow_mut()
     }
 
+    /// Size of the entries since the newest snapshot after which the next one is taken.
+    ///
+    /// A snapshot is written as a whole, so it is at most as large as the entries that it replaces.
+    pub(super) fn snapshot_bytes(&self, state: &State) -> usize {
+        let previous = state.log.snapshot().map_or(0, |s| s.data.len());
+        self.tuning.snapshot_bytes.max(previous)
+    }
+
     pub(super) fn stopped(&self) -> bool {
         self.state.borrow().stopped
     }
@@ -348,6 +360,10 @@
             if !state.is_leader(term) || state.transferring {
                 return Err(state.not_leader_error());
             }
+            let most = self.snapshot_bytes(&state).saturating_mul(BACKLOG_FACTOR);
+            if state.log.uncovered_bytes() > most {
+                return Err(ProposeError::Backlog);
+            }
             let index = state.append(Body::Command(payload.into()));
             let (sender, receiver) = local_sync::oneshot::channel();
             state.proposals.insert(index, sender);
--- a/src/log/snapshots.rs
+++ b/src/log/snapshots.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::Tuning;
 use super::follower;
 use super::messages::{AppendOutcome, AppendResponse, SnapshotChunk};
 use super::model::Snapshot;
@@ -27,7 +28,10 @@
             continue;
         };
         match oneshot::run_blocking(encode).await {
-            Some(Ok(data)) => snapshot.data = data,
+            Some(Ok(mut data)) => {
+                data.shrink_to_fit();
+                snapshot.data = data;
+            }
             Some(Err(reason)) => {
                 node.record("log.no_snapshot", &reason);
                 monoio::time::sleep(RETRY_DELAY).await;
@@ -52,7 +56,14 @@
         node.record("log.snapshot", &format!("index {}", snapshot.index));
         let mut state = node.state_mut();
         if snapshot.index > state.log.snapshot_index() {
-            state.log.compact(snapshot, node.tuning.trailing_entries);
+            let Tuning {
+                trailing_entries,
+                trailing_bytes,
+                ..
+            } = node.tuning;
+            state
+                .log
+                .compact(snapshot, trailing_entries, trailing_bytes);
         }
     }
 }
@@ -62,7 +73,10 @@
     let grown = state
         .applied_index
         .saturating_sub(state.log.snapshot_index());
-    grown >= node.tuning.snapshot_entries && !state.installing && !state.stopped
+    let bytes = || state.log.uncovered_bytes_to(state.applied_index);
+    let is_large = || grown > 0 && bytes() >= node.snapshot_bytes(&state);
+    let is_due = grown >= node.tuning.snapshot_entries || is_large();
+    is_due && !state.installing && !state.stopped
 }
 
 /// Whether a leader's snapshot was installed, or began to be, while a snapshot of this replica up to
--- a/src/log/tests/mod.rs
+++ b/src/log/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the log: property tests of the files, and small clusters on loopback.
 
+mod bytes;
 mod cluster;
 mod discovery;
 mod faults;
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -10,6 +10,8 @@
 pub mod lookup;
 pub mod model;
 pub mod modified;
+pub mod size;
+pub mod source;
 pub mod store;
 #[cfg(test)]
 mod tests;
@@ -20,5 +22,6 @@
 pub use model::{
     Delivery, Destination, Idempotency, Limits, Route, Service, Table, WeightedService,
 };
+pub use source::Source;
 pub use store::{Outcome, Store};
 pub use validate::ValidationError;
--- a/src/table/model.rs
+++ b/src/table/model.rs
@@ -1,11 +1,13 @@
 //! Data model of the routing table.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use super::source::Source;
 use crate::clock;
 use crate::ids;
 
@@ -28,6 +30,21 @@
     pub limits: Limits,
 }
 
+impl Table {
+    /// Returns this table with the routes of `old` in place of equal ones, so that each is held once.
+    #[must_use]
+    pub fn sharing(mut self, old: &Self) -> Self {
+        let known: HashMap<_, _> = old.routes.iter().map(|r| (&r.name, r)).collect();
+        for route in &mut self.routes {
+            match known.get(&route.name) {
+                Some(same) if *same == route => *route = Arc::clone(same),
+                Some(_) | None => {}
+            }
+        }
+        self
+    }
+}
+
 /// Whether a request may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -85,8 +102,8 @@
     /// Destination of the requests.
     pub destination: Destination,
     /// The route as received from the operator.
-    #[serde(rename = "written", default, skip_serializing_if = "Value::is_null")]
-    pub source: Value,
+    #[serde(rename = "written", default, skip_serializing_if = "Source::is_null")]
+    pub source: Source,
 }
 
 impl Route {
@@ -103,7 +120,7 @@
             rank: self.rank,
             max_attempts: self.max_attempts,
             destination: self.destination.clone(),
-            source: Value::Null,
+            source: Source::default(),
         }
     }
 
--- a/src/table/store.rs
+++ b/src/table/store.rs
@@ -132,6 +132,7 @@
         }
         self.record_targets(&table);
         let old = self.current.take().unwrap_or_default();
+        let table = table.sharing(&old);
         self.routes
             .record_changes(index, &old.routes, &table.routes, |r| &r.name);
         self.services
--- a/src/table/tests.rs
+++ b/src/table/tests.rs
@@ -7,7 +7,7 @@
 use super::lookup::{self, Lookup};
 use super::model::{Destination, Idempotency, Limits, Route, Service, Table, WeightedService};
 use super::store::{Outcome, Store};
-use super::{ValidationError, validate};
+use super::{Source, ValidationError, size, validate};
 
 fn route(name: &str, host: &str, prefix: &str, service: &str) -> Route {
     Route {
@@ -20,7 +20,7 @@
         rank: 1,
         max_attempts: 2,
         destination: Destination::Service(service.into()),
-        source: json!({"name": name}),
+        source: json!({"name": name}).into(),
     }
 }
 
@@ -208,7 +208,7 @@
     let update = store.since(1).unwrap();
     let names: Vec<_> = update.patch.routes.iter().map(|r| &*r.name).collect();
     assert_eq!((names, update.full), (vec!["s"], false));
-    assert_eq!(update.patch.routes[0].source, Value::Null);
+    assert_eq!(update.patch.routes[0].source, Source::default());
     assert!(update.patch.services.is_empty());
     assert_eq!(store.since(0).unwrap().patch.routes.len(), 2);
 }
@@ -253,3 +253,65 @@
         .run();
     }
 }
+
+/// Guards against a route that is held by each version of the table.
+#[test]
+fn a_replaced_table_shares_the_routes_that_did_not_change() {
+    let mut store = Store::default();
+    let routes = |timeout| {
+        let mut changed = route("two", "h", "/two/", "a");
+        changed.timeout = Duration::from_millis(timeout);
+        vec![route("one", "h", "/one/", "a"), changed]
+    };
+    assert_eq!(
+        store.apply(1, replacement(0, 1, routes(1000))),
+        Outcome::Accepted
+    );
+    let old = Arc::clone(store.current().unwrap());
+    assert_eq!(
+        store.apply(2, replacement(1, 2, routes(900))),
+        Outcome::Accepted
+    );
+    let new = store.current().unwrap();
+    assert!(Arc::ptr_eq(&old.routes[0], &new.routes[0]));
+    assert!(!Arc::ptr_eq(&old.routes[1], &new.routes[1]));
+}
+
+/// Guards against tables that grow past the memory of a control VM, at once or by patches.
+#[test]
+fn a_change_to_a_table_that_is_too_large_is_refused_with_its_size() {
+    let large = |name: &str| {
+        let mut large = route(name, "h", "/", "a");
+        large.source = json!({"note": "x".repeat(size::MAX_BYTES / 2)}).into();
+        large
+    };
+    let one = table(1, vec![large("one")]);
+    let patch = |name: &str| Change {
+        base: 1,
+        version: 2,
+        digest: "d".into(),
+        body: Body::Patch(Patch {
+            routes: vec![Arc::new(large(name))],
+            ..Patch::default()
+        }),
+    };
+    assert_eq!(
+        size::check(
+            None,
+            &replacement(0, 1, one.routes.iter().map(|r| Route::clone(r)).collect())
+        ),
+        Ok(())
+    );
+    assert_eq!(size::check(Some(&one), &patch("one")), Ok(()));
+    let error = size::check(Some(&one), &patch("two")).unwrap_err();
+    assert!(error.bytes > size::MAX_BYTES);
+    assert!(
+        error.to_string().contains(&error.bytes.to_string()),
+        "{error}"
+    );
+    let both = vec![large("one"), large("two")];
+    assert_eq!(
+        size::check(None, &replacement(0, 1, both)).unwrap_err(),
+        error
+    );
+}
