Log: what is read at a start is synced before it counts

data_dir::open syncs each file that it read, then the directory and its parent, and removes obsolete segments last. A relative data directory of one component has the working directory as its parent.

--- a/src/log/atomic_file.rs
+++ b/src/log/atomic_file.rs
@@ -33,10 +33,27 @@
     sync_parent(file)
 }
 
+/// Syncs a file or directory.
+pub(super) fn sync(path: &Path) -> io::Result<()> {
+    File::open(path)?.sync_all()?;
+    #[cfg(test)]
+    SYNCED.with_borrow_mut(|synced| synced.push(path.to_path_buf()));
+    Ok(())
+}
+
+#[cfg(test)]
+thread_local! {
+    /// Paths that this thread synced, in order.
+    pub(super) static SYNCED: std::cell::RefCell<Vec<PathBuf>> = const {
+        std::cell::RefCell::new(Vec::new())
+    };
+}
+
 /// Syncs the directory that contains `file`.
 pub(super) fn sync_parent(file: &Path) -> io::Result<()> {
     match file.parent() {
-        Some(dir) => File::open(dir)?.sync_all(),
+        Some(dir) if dir.as_os_str().is_empty() => sync(Path::new(".")),
+        Some(dir) => sync(dir),
         None => Ok(()),
     }
 }
--- a/src/log/data_dir.rs
+++ b/src/log/data_dir.rs
@@ -5,6 +5,9 @@
 //! of these files is initialized. If only some of them are missing, opening
 //! fails, because the replica may have lost a vote or entries that other
 //! replicas rely on.
+//!
+//! What a process wrote before it ended may be in the page cache only, so
+//! everything that was read is synced before it counts.
 
 use std::fs::{self, File};
 use std::io::{self, Read};
@@ -96,6 +99,11 @@
     dir.join("snapshot")
 }
 
+/// Path of the file with the replica id.
+fn identity_path(dir: &Path) -> PathBuf {
+    dir.join("identity")
+}
+
 /// Path of the vote file.
 pub(super) fn vote_path(dir: &Path) -> PathBuf {
     dir.join("vote")
@@ -119,15 +127,30 @@
         torn_tail: None,
         lock,
     };
-    remove_obsolete(dir, &numbers, first_segment)?;
     for number in numbers.iter().filter(|n| **n >= first_segment) {
         let is_last = numbers.last() == Some(number);
         read_segment(dir, *number, is_last, &mut contents)?;
     }
     drop_covered(&mut contents);
+    sync_read(dir, &contents)?;
+    // Only once the snapshot that replaces them is synced.
+    remove_obsolete(dir, &numbers, first_segment)?;
     Ok(contents)
 }
 
+/// Syncs the files that were read, then the directory and its own entry.
+fn sync_read(dir: &Path, contents: &Contents) -> Result<(), OpenError> {
+    let segments = contents.segments.iter();
+    let segments = segments.map(|s| segment_path(dir, s.number));
+    let snapshot = contents.snapshot.is_some().then(|| snapshot_path(dir));
+    let files = [identity_path(dir), vote_path(dir)].into_iter();
+    for file in files.chain(snapshot).chain(segments) {
+        atomic_file::sync(&file).map_err(|e| OpenError::io(&file, &e))?;
+    }
+    let synced = atomic_file::sync(dir).and_then(|()| atomic_file::sync_parent(dir));
+    synced.map_err(|e| OpenError::io(dir, &e))
+}
+
 /// Stores a snapshot; segments before `first_segment` are obsolete from then on.
 pub(super) fn write_snapshot(
     dir: &Path,
@@ -177,7 +200,7 @@
 }
 
 fn read_identity(dir: &Path, is_new: bool) -> Result<(ReplicaId, Vote), OpenError> {
-    let path = dir.join("identity");
+    let path = identity_path(dir);
     let vote_path = vote_path(dir);
     let identity: Option<Identity> = read_json(&path)?;
     let vote: Option<Vote> = read_json(&vote_path)?;
--- a/src/log/tests/storage.rs
+++ b/src/log/tests/storage.rs
@@ -9,6 +9,7 @@
 use tempfile::TempDir;
 
 use crate::log::OpenError;
+use crate::log::atomic_file;
 use crate::log::data_dir;
 use crate::log::model::{Body, Entry, Membership, Replica, Snapshot};
 use crate::log::segment;
@@ -312,3 +313,41 @@
     fs::remove_dir_all(dir.path()).unwrap();
     assert_ne!(replica_id(), first);
 }
+
+/// Guards against entries, a vote or a snapshot that count toward a quorum although they are in the
+/// page cache only, as after a process that ended between a write and its sync.
+#[test]
+fn everything_read_at_a_start_is_synced_before_it_counts() {
+    let dir = sample_dir();
+    let snapshot = Snapshot {
+        index: 1,
+        term: 1,
+        membership: membership(1),
+        data: b"state".to_vec(),
+    };
+    // No job syncs these: they are as a process left them that was killed.
+    data_dir::write_snapshot(dir.path(), &snapshot, 3).unwrap();
+    write_segment(dir.path(), 1, &[vec![command(1, 1)]]);
+    write_segment(dir.path(), 3, &[vec![command(2, 1)]]);
+    write_segment(dir.path(), 4, &[vec![command(3, 1)]]);
+    atomic_file::SYNCED.with_borrow_mut(Vec::clear);
+    let contents = data_dir::open(dir.path()).unwrap();
+    assert_eq!(contents.entries.len(), 2);
+    let synced = atomic_file::SYNCED.take();
+    let position = |path: &Path| {
+        let found = synced.iter().position(|p| p == path);
+        found.unwrap_or_else(|| panic!("{} is not synced", path.display()))
+    };
+    let directory = position(dir.path());
+    for name in [
+        "identity",
+        "vote",
+        "snapshot",
+        "0000000003.log",
+        "0000000004.log",
+    ] {
+        assert!(position(&dir.path().join(name)) < directory, "{name}");
+    }
+    assert!(position(dir.path().parent().unwrap()) > directory);
+    assert!(!data_dir::segment_path(dir.path(), 1).exists());
+}
