Control VM gone for good: test of the replacement, heartbeat address

An empty VM at a new address learns the log and takes the vote of one that is gone; this worked and now has a test. Missing was the address that servers without keys are told: a replaced control VM stays registered and was still named.

--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -190,10 +190,14 @@
         }
     }
 
-    /// Control address of a control VM in a zone, if there is one.
+    /// Control address of a control VM in a zone, if there is one; VMs that were replaced stay
+    /// registered, but are no replicas of the log any more.
     fn address_in_zone(&self, zone: &str) -> Option<SocketAddr> {
         let store = self.coordinator.state.fleet.borrow();
-        let mut vms = store.vms().filter(|v| v.role == VmRole::Control);
+        let is_member = |vm: &&Vm| self.coordinator.log.is_member(vm.address);
+        let mut vms = store
+            .vms()
+            .filter(|v| v.role == VmRole::Control && is_member(v));
         let vm = vms.find(|v| *v.zone == *zone)?;
         Some(SocketAddr::new(vm.address.ip(), self.control.port()))
     }
--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -154,12 +154,11 @@
         membership::leader_address(&self.node.state())
     }
 
-    /// Zones of the replicas as the membership has them.
-    #[cfg(test)]
-    pub(super) fn zones(&self) -> Vec<Option<ids::ZoneName>> {
+    /// Whether a replica of the newest membership has this address.
+    pub fn is_member(&self, address: SocketAddr) -> bool {
         let state = self.node.state();
-        let replicas = state.log.membership().into_iter().flat_map(|m| &m.replicas);
-        replicas.map(|r| r.zone.clone()).collect()
+        let membership = state.log.membership();
+        membership.is_some_and(|m| m.replicas.iter().any(|r| r.address == address))
     }
 
     /// Replaces the VMs to contact when this replica needs to find its cluster.
--- a/src/log/tests/losses.rs
+++ b/src/log/tests/losses.rs
@@ -162,8 +162,44 @@
         leader(&all).await;
         until("the zones of all replicas", || {
             let leading = all.iter().find(|v| v.leads());
-            leading.is_some_and(|v| v.handle().zones().iter().all(Option::is_some))
+            leading.is_some_and(|v| {
+                let handle = v.handle();
+                let state = handle.node.state();
+                let membership = state.log.membership();
+                membership.is_some_and(|m| m.replicas.iter().all(|r| r.zone.is_some()))
+            })
         })
         .await;
     });
 }
+
+/// Guards against a VM that is gone for good and keeps its vote although another VM has joined with
+/// an empty data directory at a new address.
+#[test]
+fn a_vm_at_a_new_address_takes_the_vote_of_one_that_is_gone() {
+    runtime::run(async {
+        let zones = ["z0", "z1", "z2"];
+        let vms = zones.map(|zone| Vm::in_zone(zone, 3));
+        let all: Vec<_> = vms.iter().collect();
+        for vm in &all {
+            vm.start(&all, true);
+        }
+        wait_for_voters(&all, &all).await;
+        propose(&all, "one").await;
+        let gone = leader(&all).await;
+        gone.kill();
+        let new = Vm::in_zone(gone.zone.as_deref().unwrap(), 3);
+        // Its seeds are those of the others; the one that is gone does not answer.
+        new.start(&all, false);
+        let kept = all.into_iter().filter(|v| v.address != gone.address);
+        let present: Vec<_> = kept.chain([&new]).collect();
+        wait_for_voters(&present, &present).await;
+        propose(&present, "two").await;
+        until("the new VM to have all commands", || new.has_applied(2)).await;
+        // It counts: with it, one of the other two may be lost.
+        let other = present[0];
+        other.kill();
+        propose(&present[1..], "three").await;
+        assert!(new.handle().is_member(new.address));
+    });
+}
