--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -22,13 +22,10 @@
 use crate::settings::fleet::{ControlSettings, SettingsFile};
 use crate::settings::{StartError, bind};
 use crate::signals::Signals;
+use crate::table;
 use crate::timeline::{Event, Journal};
 use crate::web;
 
-/// Number of voting control VMs: one may fail, and if a partition splits four VMs in half, one
-/// half has a majority of the voters.
-const VOTERS: usize = 3;
-
 /// Time between heartbeats of the log's leader; each costs traffic between zones.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -48,8 +45,8 @@
 /// Time for requests in flight to finish when the daemon stops.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum size of a change of the routing table: thousands of routes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum size of a change of the routing table: more than any table that can be stored.
+const MAX_BODY_BYTES: usize = table::size::MAX_BYTES;
 
 /// Maximum number of connections, well below the limit of file descriptors of a process.
 const MAX_CONNECTIONS: usize = 2000;
@@ -140,7 +137,8 @@
         discovery: Some(log::Discovery {
             address: settings.peer,
             may_bootstrap: settings.founding,
-            voter_count: VOTERS,
+            voter_count: settings.voter_count(),
+            zone: Some(Arc::clone(&settings.zone)),
         }),
     };
     let tuning = log::Tuning {
--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -191,10 +191,14 @@
         }
     }
 
-    /// Control address of a control VM in a zone, if there is one.
+    /// Control address of a control VM in a zone, if there is one; VMs that were replaced stay
+    /// registered, but are no replicas of the log any more.
     fn address_in_zone(&self, zone: &str) -> Option<SocketAddr> {
         let store = self.coordinator.state.fleet.borrow();
-        let mut vms = store.vms().filter(|v| v.role == VmRole::Control);
+        let is_member = |vm: &&Vm| self.coordinator.log.is_member(vm.address);
+        let mut vms = store
+            .vms()
+            .filter(|v| v.role == VmRole::Control && is_member(v));
         let vm = vms.find(|v| *v.zone == *zone)?;
         Some(SocketAddr::new(vm.address.ip(), self.control.port()))
     }
@@ -461,6 +465,7 @@
         RequestError::NotLeader => error::NOT_LEADER,
         RequestError::Unsure => error::OUTCOME_UNKNOWN,
         RequestError::Malformed(_) => error::BAD_REQUEST,
+        RequestError::Unavailable(_) => error::REFUSED,
     };
     Fault::new(code, &error.to_string())
 }
@@ -470,6 +475,9 @@
         CallError::Fault(fault) if fault.code == error::BAD_REQUEST => {
             RequestError::Malformed(Arc::clone(&fault.message))
         }
+        CallError::Fault(fault) if fault.code == error::REFUSED => {
+            RequestError::Unavailable(Arc::clone(&fault.message))
+        }
         CallError::Fault(fault) if fault.code == error::NOT_LEADER => RequestError::NotLeader,
         CallError::Unreachable(_) => RequestError::NotLeader,
         CallError::Fault(_)
--- a/src/log/handle.rs
+++ b/src/log/handle.rs
@@ -154,6 +154,13 @@
         membership::leader_address(&self.node.state())
     }
 
+    /// Whether a replica of the newest membership has this address.
+    pub fn is_member(&self, address: SocketAddr) -> bool {
+        let state = self.node.state();
+        let membership = state.log.membership();
+        membership.is_some_and(|m| m.replicas.iter().any(|r| r.address == address))
+    }
+
     /// Replaces the VMs to contact when this replica needs to find its cluster.
     pub fn set_seeds(&self, seeds: Vec<Member>) {
         *self.node.seeds.borrow_mut() = seeds;
