Web: a response with a status that HTTP doesn't have is malformed

Cause: the decoder of the library takes 100 to 999 for statuses, and only the framing was checked here. Status 600 or 999 reached the caller with the server's signature; 000, 099 and texts were rejected already. A 101 was skipped as an interim response.

Change: statuses above 599 and a 101 are malformed, so the request is retried if it may be, or answered 502, and the connection is closed.

--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod copy_model;
 mod endless;
 mod head;
+mod invalid_status;
 mod mock;
 mod notices;
 mod requests;
--- a/src/web/decode.rs
+++ b/src/web/decode.rs
@@ -21,6 +21,9 @@
 /// Upper bound for every head limit.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// Highest status of the classes that HTTP defines.
+const MAX_STATUS: u16 = 599;
+
 /// Longest size line of a chunk: sixteen digits and the carriage return.
 const MAX_CHUNK_SIZE_LINE_BYTES: usize = 17;
 
@@ -121,11 +124,22 @@
             return Ok(Decoded::Insufficient);
         }
         let (head, payload) = decode_head(&mut self.inner, src)?;
+        check_status(head.status)?;
         check_length(&head.headers, head.version, self.max_body_bytes)?;
         Ok(Decoded::Some((head, payload)))
     }
 }
 
+/// Rejects statuses outside the classes of HTTP, which the inner decoder accepts up to 999, and a
+/// switch of protocols, which no request here asks for.
+fn check_status(status: StatusCode) -> Result<(), DecodeError> {
+    match status {
+        StatusCode::SWITCHING_PROTOCOLS => Err(DecodeError::Malformed("unrequested upgrade")),
+        status if status.as_u16() > MAX_STATUS => Err(DecodeError::Malformed("invalid status")),
+        _ => Ok(()),
+    }
+}
+
 /// Whether a response with this status never has a body.
 pub fn is_bodiless(status: StatusCode) -> bool {
     status.is_informational()
