Gateway: second attempts of overdue requests, and an order for requests that wait

Cause: on a deployment whose servers are three times slower for moments, 15 % of the requests of the highest rank were answered late although other servers had free slots. Requests that waited for capacity took it in the order in which their polls happened to come.

Change: an idempotent request without a key that is overdue is sent to a second server with a free slot when it can just meet its latency target, out of the retry budget; the first success counts and the other attempt is cancelled. Waiting requests go by rank and arrival. A request whose time is too short for any response is refused at once. After a rejection by servers with free slots callers are told to come back after 40 to 80 ms instead of 250.

Tests: gateway::tests::hedging and waiting.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -11,6 +11,9 @@
 /// Suggested wait when all backend servers are full: the time of several requests.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Suggested wait after servers that had room rejected a request: waiting longer gains nothing.
+const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(40);
+
 /// Suggested wait when a key is moving: about a heartbeat interval.
 const MOVE_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -36,6 +39,8 @@
     pub(super) timed_out: bool,
     /// Whether all rejections were for lack of capacity.
     pub(super) all_full: bool,
+    /// Whether the last rejection came from a server that reported free slots.
+    pub(super) had_room: bool,
     /// Why no backend server was found that could take the request.
     pub(super) unavailable: Option<Unavailable>,
     /// Failure response of a backend server, sent if no further attempt succeeds.
@@ -106,6 +111,14 @@
             _ if has_key => {
                 LocalResponse::unavailable(MOVE_RETRY_AFTER, "the key has no holder now")
             }
+            Attempts {
+                all_full: true,
+                had_room: true,
+                ..
+            } => LocalResponse::unavailable(
+                REJECTED_RETRY_AFTER.mul_f64(1.0 + fastrand::f64()),
+                "servers rejected it",
+            ),
             Attempts { all_full: true, .. } => {
                 LocalResponse::unavailable(FULL_RETRY_AFTER, "no room")
             }
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -219,6 +219,14 @@
         }
     }
 
+    /// Records a request that was abandoned after `latency`, relative to the route's average; its
+    /// response would have taken longer.
+    pub fn record_abandoned(&self, latency: f64) {
+        if latency > self.relative_latency.get() {
+            update_average(&self.relative_latency, latency);
+        }
+    }
+
     /// Records a rejection for lack of capacity.
     pub fn record_full(&self, slots: u32) {
         self.other_load.set(f64::from(slots) * 2.0);
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -20,6 +20,10 @@
 /// rank.
 const LOWER_RANK_RATIO: f64 = 0.6;
 
+/// Part of that which second attempts beside an unanswered one may spend: a request that failed
+/// needs its retry more than one that may only be late.
+const HEDGE_RATIO: f64 = 0.6;
+
 /// Parameters of a retry.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryRequest {
@@ -27,6 +31,8 @@
     pub is_top_rank: bool,
     /// Number of entry VMs that share the budget.
     pub entry_vms: u32,
+    /// Whether the attempt before is still unanswered.
+    pub is_hedge: bool,
 }
 
 /// Counts of one bucket of a window.
@@ -87,6 +93,11 @@
         } else {
             LOWER_RANK_RATIO
         };
+        let ratio = if retry.is_hedge {
+            ratio * HEDGE_RATIO
+        } else {
+            ratio
+        };
         let allowed = ratio * (self.ratio * sum(|b| b.requests) + share);
         if sum(|b| b.retries) + 1.0 > allowed {
             return false;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -170,10 +170,12 @@
     gateway.abort.stop();
     gateway.stop.wait_closed(left(total_grace)).await;
     let detail = format!(
-        "whole={finished} answered={} refused={} repeated={} leaving={} quiet={}",
+        "whole={finished} answered={} refused={} repeated={} hedged={} hedges_won={} leaving={} quiet={}",
         gateway.counters.answered.get(),
         gateway.counters.rejected.get(),
         gateway.counters.retried.get(),
+        gateway.counters.hedged.get(),
+        gateway.counters.hedge_won.get(),
         gateway.counters.leaving.get(),
         gateway.counters.quiet.get(),
     );
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -68,6 +68,13 @@
     TimedOut,
 }
 
+impl Outcome {
+    /// Whether the server responded, and with no error of its own.
+    pub fn is_success(&self) -> bool {
+        matches!(self, Self::Responded(response) if !response.status.is_server_error())
+    }
+}
+
 /// Outcome of an attempt and the connection that it was sent on, if it was sent.
 #[derive(Debug)]
 pub struct AttemptResult {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod daemon;
 pub mod exchange;
 pub mod head;
+pub mod hedge;
 mod notices;
 pub mod request;
 pub mod response;
@@ -25,6 +26,7 @@
 pub mod selection;
 #[cfg(test)]
 mod tests;
+pub mod waiting;
 
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -64,6 +66,8 @@
     pub abort: StopHandle,
     /// When this VM starts to reject requests; set on shutdown.
     pub accept_until: Cell<Option<Instant>>,
+    /// Requests that wait for capacity.
+    pub waiting: waiting::WaitingRequests,
     /// Counters of requests by result.
     pub counters: Counters,
 }
@@ -77,6 +81,10 @@
     pub rejected: Cell<u64>,
     /// Retries sent.
     pub retried: Cell<u64>,
+    /// Second attempts sent while the first was unanswered.
+    pub hedged: Cell<u64>,
+    /// Second attempts whose response was forwarded.
+    pub hedge_won: Cell<u64>,
     /// Backend servers first seen to leave in a response.
     pub leaving: Cell<u64>,
     /// Times that a backend server began to want no requests.
@@ -98,6 +106,7 @@
             stop: StopHandle::default(),
             abort: StopHandle::default(),
             accept_until: Cell::default(),
+            waiting: waiting::WaitingRequests::default(),
             counters: Counters::default(),
         })
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Processing of one request from its route to the final response.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,15 +14,18 @@
 use super::budget::RetryRequest;
 use super::exchange::{self, Attempt, AttemptResult, BodySource, Outcome, RequestBody};
 use super::head::{self, ForwardedHead};
+use super::hedge::{self, HedgeTimes};
 use super::response::{BackendResponse, LocalResponse, Response, ResponseBody};
 use super::routing::KeyOwner;
 use super::selection::{self, SelectionContext};
+use super::waiting::Waiter;
 use super::{Gateway, increment};
 use crate::clock;
 use crate::fleet::Key;
 use crate::ids;
 use crate::table::lookup;
 use crate::table::{Idempotency, Route};
+use crate::web::race::{self, Either};
 
 /// Share of the route's latency target that a request waits for a backend server with capacity.
 const CAPACITY_WAIT_RATIO: f64 = 0.12;
@@ -52,6 +56,10 @@
 /// Longest idle time of a pooled connection for an idempotent request.
 const MAX_IDLE_IDEMPOTENT: Duration = Duration::from_mins(1);
 
+/// Share of a route's average time that must be left for an attempt: fewer than one response in
+/// ten arrives sooner.
+const MIN_TIME_RATIO: f64 = 0.4;
+
 /// Weight of a new sample in the average request time of a route.
 const EWMA_WEIGHT: f64 = 0.05;
 
@@ -139,19 +147,114 @@
             if attempts.sent > 0 && !self.try_retry(&attempts) {
                 return self.give_up(attempts);
             }
-            let sent_at = clock::now();
-            let load = backend.load(sent_at);
-            let attempt = self.attempt();
-            let body = RequestBody::Full(body.clone());
-            let result = exchange::exchange(&backend, &attempt, body).await;
-            if let Some(response) =
-                self.handle_outcome(&backend, result, &mut attempts, sent_at, load)
-            {
+            let sent = SentAttempt::new(backend);
+            if let Some(response) = self.send(&sent, &body, &mut attempts).await {
                 return response;
             }
         }
     }
 
+    /// Sends one attempt, and a second one beside it if it is overdue; returns the response if no
+    /// further attempt follows.
+    async fn send(
+        &self,
+        first: &SentAttempt,
+        body: &Bytes,
+        attempts: &mut Attempts,
+    ) -> Option<Response> {
+        let attempt = self.attempt();
+        let exchange = |to: &SentAttempt| {
+            let backend = Rc::clone(&to.backend);
+            let body = RequestBody::Full(body.clone());
+            let attempt = &attempt;
+            async move { exchange::exchange(&backend, attempt, body).await }
+        };
+        let mut first_work = pin!(exchange(first));
+        let second = match self.hedge_delay(first, attempts) {
+            None => None,
+            Some(delay) => match monoio::time::timeout(delay, first_work.as_mut()).await {
+                Ok(result) => return self.handle_outcome(first, result, attempts),
+                Err(_) => self.select_hedge(first, attempts),
+            },
+        };
+        let Some(second) = second else {
+            let result = first_work.await;
+            return self.handle_outcome(first, result, attempts);
+        };
+        let mut second_work = Box::pin(exchange(&second));
+        match race::race(first_work.as_mut(), second_work.as_mut()).await {
+            Either::First(result) if result.outcome.is_success() => {
+                self.handle_outcome(first, result, attempts)
+            }
+            Either::Second(result) if result.outcome.is_success() => {
+                increment(&self.gateway.counters.hedge_won);
+                self.record_abandoned(first);
+                self.handle_outcome(&second, result, attempts)
+            }
+            Either::First(result) => match self.handle_outcome(first, result, attempts) {
+                None => {
+                    let result = second_work.await;
+                    self.handle_outcome(&second, result, attempts)
+                }
+                response => response,
+            },
+            Either::Second(result) => match self.handle_outcome(&second, result, attempts) {
+                None => {
+                    let result = first_work.await;
+                    self.handle_outcome(first, result, attempts)
+                }
+                response => response,
+            },
+        }
+    }
+
+    /// Time after which a second attempt is sent beside an unanswered one, if at all.
+    fn hedge_delay(&self, first: &SentAttempt, attempts: &Attempts) -> Option<Duration> {
+        let may_hedge = self.key.is_none()
+            && self.route.idempotency == Idempotency::Idempotent
+            && attempts.sent + 1 < self.route.max_attempts;
+        if !may_hedge {
+            return None;
+        }
+        let average = {
+            let routing = self.gateway.routing.borrow();
+            *routing.route_secs.get(&self.route.name)?
+        };
+        let average = Duration::try_from_secs_f64(average).ok()?;
+        let waited = first.sent_at.saturating_duration_since(self.arrived_at);
+        hedge::delay(HedgeTimes {
+            first: average.mul_f64(first.backend.relative_latency(first.sent_at)),
+            second: average,
+            to_target: self.route.latency_target.checked_sub(waited)?,
+        })
+    }
+
+    /// Selects a backend server with a free slot for a second attempt and spends the budget for it.
+    fn select_hedge(&self, first: &SentAttempt, attempts: &Attempts) -> Option<SentAttempt> {
+        let backend = {
+            let routing = self.gateway.routing.borrow();
+            let mut excluded = attempts.tried.clone();
+            excluded.push(Rc::clone(&first.backend));
+            let context = self.selection_context(&routing);
+            let backends = routing.backends(&self.service);
+            let backend = selection::select_backend(backends, &excluded, &context)?;
+            let load = backend.load(context.now);
+            Some(backend).filter(|b| hedge::has_free_slot(load, b.server().slots))?
+        };
+        if !self.try_spend(true) {
+            return None;
+        }
+        increment(&self.gateway.counters.hedged);
+        Some(SentAttempt::new(backend))
+    }
+
+    /// Records that an attempt was abandoned unanswered.
+    fn record_abandoned(&self, sent: &SentAttempt) {
+        if let Some(latency) = self.relative_latency(sent, false) {
+            sent.backend.record_abandoned(latency);
+        }
+    }
+
     /// Runs a request whose body is still arriving; it can't be retried once sent.
     pub async fn stream(self, mut source: BodySource<'_>) -> Response {
         self.record_request();
@@ -163,15 +266,14 @@
                 return self.give_up(attempts);
             }
         };
-        let sent_at = clock::now();
-        let load = backend.load(sent_at);
+        let sent = SentAttempt::new(backend);
         let attempt = self.attempt();
         let body = RequestBody::Stream(BodySource {
             buffered: std::mem::take(&mut source.buffered),
             ..source
         });
-        let result = exchange::exchange(&backend, &attempt, body).await;
-        let response = self.handle_outcome(&backend, result, &mut attempts, sent_at, load);
+        let result = exchange::exchange(&sent.backend, &attempt, body).await;
+        let response = self.handle_outcome(&sent, result, &mut attempts);
         response.unwrap_or_else(|| self.give_up(attempts))
     }
 
@@ -202,12 +304,11 @@
     /// Records the outcome of an attempt; returns the response if it was the last one.
     fn handle_outcome(
         &self,
-        backend: &Rc<Backend>,
+        sent: &SentAttempt,
         result: AttemptResult,
         attempts: &mut Attempts,
-        sent_at: Instant,
-        load: f64,
     ) -> Option<Response> {
+        let backend = &sent.backend;
         let AttemptResult {
             outcome,
             connection,
@@ -220,7 +321,7 @@
         match outcome {
             Outcome::Responded(response) => {
                 let failed = response.status.is_server_error();
-                let latency = self.relative_latency(backend, sent_at, load, failed);
+                let latency = self.relative_latency(sent, failed);
                 let reported = head::reported_load(&response.headers, &self.gateway.header_names);
                 backend.record_response(latency, reported, failed);
                 if let Some(key) = self.key {
@@ -244,6 +345,7 @@
                     },
                 );
                 backend.record_response(None, reported, has_capacity);
+                attempts.had_room = has_capacity;
                 if !has_capacity {
                     backend.record_full(slots);
                 }
@@ -292,21 +394,15 @@
     }
 
     /// Request time relative to the route's average, corrected for the load at the server.
-    fn relative_latency(
-        &self,
-        backend: &Backend,
-        sent_at: Instant,
-        load: f64,
-        failed: bool,
-    ) -> Option<f64> {
+    fn relative_latency(&self, sent: &SentAttempt, failed: bool) -> Option<f64> {
         if failed {
             return None;
         }
         let latency = clock::now()
-            .saturating_duration_since(sent_at)
+            .saturating_duration_since(sent.sent_at)
             .as_secs_f64();
-        let slots = f64::from(backend.server().slots.max(1));
-        let unloaded = latency / ((load + 1.0) / slots).max(1.0);
+        let slots = f64::from(sent.backend.server().slots.max(1));
+        let unloaded = latency / ((sent.load + 1.0) / slots).max(1.0);
         let mut routing = self.gateway.routing.borrow_mut();
         let average = routing
             .route_secs
@@ -318,6 +414,15 @@
 
     /// Spends a retry if attempts and the budget allow one more.
     fn try_retry(&self, attempts: &Attempts) -> bool {
+        let allowed = attempts.sent < self.route.max_attempts && self.try_spend(false);
+        if allowed {
+            increment(&self.gateway.counters.retried);
+        }
+        allowed
+    }
+
+    /// Spends the budget for one more attempt, `is_hedge` if another one is unanswered.
+    fn try_spend(&self, is_hedge: bool) -> bool {
         let retry = {
             let routing = self.gateway.routing.borrow();
             RetryRequest {
@@ -325,15 +430,11 @@
                     .top_rank(&self.service)
                     .is_none_or(|top| self.route.rank <= top),
                 entry_vms: routing.entry_vm_count(),
+                is_hedge,
             }
         };
         let mut budget = self.gateway.budget.borrow_mut();
-        let allowed = attempts.sent < self.route.max_attempts
-            && budget.try_spend(&self.service, retry, clock::now());
-        if allowed {
-            increment(&self.gateway.counters.retried);
-        }
-        allowed
+        budget.try_spend(&self.service, retry, clock::now())
     }
 
     /// Waits for a backend server to send to.
@@ -352,8 +453,16 @@
         attempts: &Attempts,
     ) -> Result<Rc<Backend>, Option<Unavailable>> {
         let until = self.arrived_at + self.route.latency_target.mul_f64(CAPACITY_WAIT_RATIO);
+        if !self.may_finish() {
+            return Err(None);
+        }
+        let mut waiter: Option<Waiter> = None;
         loop {
-            {
+            let is_next = match &waiter {
+                Some(waiter) => waiter.is_first(),
+                None => !self.gateway.waiting.any(&self.service),
+            };
+            if is_next {
                 let routing = self.gateway.routing.borrow();
                 let backends = routing.backends(&self.service);
                 let context = self.selection_context(&routing);
@@ -368,10 +477,23 @@
             if clock::now() >= until.min(self.deadline) {
                 return Err(None);
             }
+            let join = || {
+                let waiting = &self.gateway.waiting;
+                waiting.join(&self.service, self.route.rank, self.arrived_at)
+            };
+            waiter.get_or_insert_with(join);
             monoio::time::sleep(CAPACITY_POLL_INTERVAL).await;
         }
     }
 
+    /// Whether enough time is left for a response that comes quickly.
+    fn may_finish(&self) -> bool {
+        let left = self.deadline.saturating_duration_since(clock::now());
+        let routing = self.gateway.routing.borrow();
+        let average = routing.route_secs.get(&self.route.name);
+        average.is_none_or(|average| left.as_secs_f64() >= average * MIN_TIME_RATIO)
+    }
+
     async fn await_owner(&self, key: Key, attempts: &Attempts) -> Result<Rc<Backend>, Unavailable> {
         let wait = self
             .route
@@ -495,6 +617,26 @@
     }
 }
 
+/// An attempt that was sent.
+#[derive(Debug)]
+struct SentAttempt {
+    backend: Rc<Backend>,
+    sent_at: Instant,
+    /// Requests in flight at the server before this one.
+    load: f64,
+}
+
+impl SentAttempt {
+    fn new(backend: Rc<Backend>) -> Self {
+        let sent_at = clock::now();
+        Self {
+            load: backend.load(sent_at),
+            backend,
+            sent_at,
+        }
+    }
+}
+
 /// Returns the host of a request without its port.
 fn host(parts: &request::Parts) -> Option<&str> {
     let header = parts
--- a/src/gateway/tests/budget.rs
+++ b/src/gateway/tests/budget.rs
@@ -7,6 +7,7 @@
     RetryRequest {
         is_top_rank,
         entry_vms: 5,
+        is_hedge: false,
     }
 }
 
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -5,12 +5,14 @@
 mod copy_model;
 mod endless;
 mod head;
+mod hedging;
 mod invalid_status;
 mod mock;
 mod notices;
 mod requests;
 mod routing;
 mod selection;
+mod waiting;
 
 use std::rc::Rc;
 use std::time::Duration;
