--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -6,11 +6,14 @@
 mod endless;
 mod evacuation;
 mod head;
+mod hedging;
+mod invalid_status;
 mod mock;
 mod notices;
 mod requests;
 mod routing;
 mod selection;
+mod waiting;
 mod warmup;
 
 use std::rc::Rc;
