Gateway: only failed connections make a server cold; replay of cold owners

A request whose time ended while it connected was counted as an unreachable server, so that short deadlines would have made warm servers cold.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -309,7 +309,6 @@
     /// Records a failed connection attempt.
     pub fn record_unreachable(&self) {
         self.idle.borrow_mut().clear();
-        self.record_connection_lost();
         if self.unreachable_since.get().is_none() {
             self.unreachable_since.set(Some(clock::now()));
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -153,7 +153,10 @@
         Some(connection) => connection,
         None => match connect(backend, attempt.max_connections).await {
             Ok(connection) => connection,
-            Err(reason) => return Outcome::NotSent(reason),
+            Err(reason) => {
+                backend.record_connection_lost();
+                return Outcome::NotSent(reason);
+            }
         },
     };
     let length = match &body {
--- a/src/gateway/tests/warmup.rs
+++ b/src/gateway/tests/warmup.rs
@@ -245,6 +245,44 @@
     }
 }
 
+/// Guards against a key that becomes busy while its owner is cold: any VM may have to send to an
+/// owner, so that even one request of each is too much.
+#[test]
+fn a_cold_owner_gets_no_more_than_it_survives() {
+    let bound = LIMIT.requests_per_sec * 1.5 + 8.0;
+    let start = clock::now();
+    let steps = |seconds: u32| (0..seconds * 100).map(|i| start + STEP * i);
+    for vms in [1, 9, 24, 84, 300] {
+        let list = entry_vms(vms);
+        let limiter = |vm: &Vm| {
+            let mut limiter = Limiter::default();
+            let share = Share::new(LIMIT, true, ("server", "near"), vm, &list);
+            limiter.set_share(Some(share), start, start);
+            limiter.set_cold(Duration::from_secs(10), start);
+            limiter
+        };
+        let mut limiters: Vec<_> = list.iter().map(limiter).collect();
+        let mut relay = limiters[0].clone();
+        let (mut direct, mut relayed) = (Vec::new(), Vec::new());
+        for now in steps(10) {
+            for limiter in limiters.iter_mut().filter(|l| l.wait(now).is_zero()) {
+                limiter.record_sent(now);
+                direct.push(now - start);
+            }
+            if relay.relay_wait(now).is_zero() {
+                relay.record_sent(now);
+                relayed.push(now - start);
+            }
+        }
+        for mut arrivals in [direct, relayed] {
+            let per_sec = to_f64(arrivals.len()) / 10.0;
+            assert!((3.5..5.5).contains(&per_sec), "{vms} VMs: {per_sec}");
+            let busiest = busiest_second(&mut arrivals);
+            assert!(to_f64(busiest) <= bound, "{vms} VMs: {busiest}");
+        }
+    }
+}
+
 /// Guards against limits where the table has none: reports of coldness then change nothing.
 #[test]
 fn servers_of_a_service_without_both_columns_are_never_limited() {
@@ -258,7 +296,7 @@
         };
         for server in &backends {
             server.set_cold(Duration::from_secs(3));
-            server.record_unreachable();
+            server.record_connection_lost();
             server.record_response(None, None, false);
         }
         let is_limited = |b: &&Rc<Backend>| b.is_cold(clock::now());
