Gateway: queue of the requests for one owner, ordered by rank

Cause: requests of 56 ms with a target of 200 ms wait behind two of 360 ms at their owner. Not used yet.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod response;
 mod response_writer;
 pub mod routing;
+pub mod seats;
 pub mod selection;
 #[cfg(test)]
 mod tests;
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -9,6 +9,7 @@
 mod notices;
 mod requests;
 mod routing;
+mod seats;
 mod selection;
 
 use std::rc::Rc;
