--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -17,6 +17,7 @@
 
 use super::exchange::{BodySource, MAX_BUFFERED_BYTES};
 use super::head;
+use super::relay::{HOP_HEAD_BYTES, HOP_IDLE_TIMEOUT, PROGRESS, PROGRESS_INTERVAL};
 use super::request::{self as forward, RoutedRequest};
 use super::response::{LocalResponse, Response};
 use super::response_writer::{
@@ -51,8 +52,22 @@
     Stopping,
 }
 
-/// Serves one connection until either end closes it.
+/// Other end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// An entry VM that this VM is the relay VM for.
+    Peer,
+}
+
+/// Serves one connection of a caller until either end closes it.
 pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    serve_from(Origin::Caller, gateway, stream).await;
+}
+
+/// Serves one connection until either end closes it.
+pub async fn serve_from(origin: Origin, gateway: Rc<Gateway>, stream: TcpStream) {
     let mut connection = HttpConnection::new(stream);
     // Boxed, because the queue of an idle connection keeps the capacity of its last request.
     let mut pending = FuturesOrdered::new();
@@ -63,10 +78,10 @@
     loop {
         let limits = Rc::clone(&gateway.routing.borrow().limits);
         while accepts_requests && pending.len() < MAX_PIPELINED_REQUESTS {
-            match connection.decode_request_head(head_limits(&limits)) {
+            match connection.decode_request_head(head_limits(origin, &limits)) {
                 Ok(None) => break,
                 Err(error) => {
-                    pending.push_back(Box::pin(handle(Rc::clone(&gateway), Err(error))));
+                    pending.push_back(Box::pin(handle(origin, Rc::clone(&gateway), Err(error))));
                     accepts_requests = false;
                 }
                 Ok(Some(head)) if head.body.is_done() => {
@@ -75,7 +90,7 @@
                         parts: head.parts,
                         body: Bytes::new(),
                     };
-                    pending.push_back(Box::pin(handle(Rc::clone(&gateway), Ok(request))));
+                    pending.push_back(Box::pin(handle(origin, Rc::clone(&gateway), Ok(request))));
                 }
                 Ok(Some(head)) => {
                     // A body is read only when no earlier request is in flight.
@@ -87,8 +102,13 @@
                         }
                     }
                     // Boxed, because an idle connection would otherwise reserve space for it.
-                    let request =
-                        Box::pin(handle_with_body(&gateway, &mut connection, head, &limits));
+                    let request = Box::pin(handle_with_body(
+                        origin,
+                        &gateway,
+                        &mut connection,
+                        head,
+                        &limits,
+                    ));
                     if request.await == ConnectionAction::Close {
                         return;
                     }
@@ -100,6 +120,7 @@
             return response_writer::close_gracefully(&mut connection).await;
         }
         let timeout = event_timeout(
+            origin,
             &connection,
             &limits,
             pending.is_empty(),
@@ -125,6 +146,11 @@
             }
             Event::Stopping => shutdown_deadline = Some(clock::now() + SHUTDOWN_KEEP_ALIVE),
             Event::Read(Ok(length)) if length > 0 => {}
+            Event::TimedOut if !pending.is_empty() && origin == Origin::Peer => {
+                if connection.write(PROGRESS.to_vec()).await.is_err() {
+                    return;
+                }
+            }
             // Requests in flight have their own deadline, however far away that is.
             Event::TimedOut if !pending.is_empty() => last_activity = clock::now(),
             Event::TimedOut if connection.buffered_bytes() > 0 => {
@@ -178,6 +204,7 @@
 
 /// Returns how long to wait for the next event.
 fn event_timeout(
+    origin: Origin,
     connection: &HttpConnection,
     limits: &Limits,
     idle: bool,
@@ -185,9 +212,11 @@
     shutdown_deadline: Option<Instant>,
 ) -> Duration {
     let deadline = match shutdown_deadline {
+        _ if !idle && origin == Origin::Peer => clock::now() + PROGRESS_INTERVAL,
         _ if !idle => last_activity + BODY_TIMEOUT,
         _ if connection.buffered_bytes() > 0 => last_activity + limits.header_timeout,
         Some(shutdown_deadline) => shutdown_deadline,
+        None if origin == Origin::Peer => last_activity + HOP_IDLE_TIMEOUT,
         None => last_activity + limits.idle_timeout + IDLE_TIMEOUT_MARGIN,
     };
     deadline.saturating_duration_since(clock::now())
@@ -201,6 +230,7 @@
 
 /// Processes a request, or answers a malformed one.
 async fn handle(
+    origin: Origin,
     gateway: Rc<Gateway>,
     request: Result<BufferedRequest, DecodeError>,
 ) -> CallerResponse {
@@ -210,9 +240,17 @@
     };
     let close = !keeps_alive(&parts);
     let request_id = parts.headers.get(&gateway.header_names.request_id).cloned();
-    let response = match RoutedRequest::new(&gateway, &parts) {
-        Ok(routed) => until_aborted(&gateway, request_id.as_ref(), pin!(routed.run(body))).await,
-        Err(response) => Response::Local(response),
+    let response = match origin {
+        Origin::Peer => {
+            let work = pin!(RoutedRequest::run_from_peer(&gateway, &parts, body));
+            until_aborted(&gateway, request_id.as_ref(), work).await
+        }
+        Origin::Caller => match RoutedRequest::new(&gateway, &parts) {
+            Ok(routed) => {
+                until_aborted(&gateway, request_id.as_ref(), pin!(routed.run(body))).await
+            }
+            Err(response) => Response::Local(response),
+        },
     };
     CallerResponse {
         response,
@@ -251,6 +289,7 @@
 
 /// Reads the body of a request and processes it.
 async fn handle_with_body(
+    origin: Origin,
     gateway: &Rc<Gateway>,
     connection: &mut HttpConnection,
     head: RequestHead,
@@ -288,8 +327,12 @@
             parts,
             body: buffered,
         };
-        let mut response = pin!(handle(Rc::clone(gateway), Ok(request)));
-        return match until_disconnected(connection, response.as_mut()).await {
+        let mut response = pin!(handle(origin, Rc::clone(gateway), Ok(request)));
+        let response = match origin {
+            Origin::Caller => until_disconnected(connection, response.as_mut()).await,
+            Origin::Peer => with_progress(connection, response.as_mut()).await,
+        };
+        return match response {
             Some(response) => write(gateway, connection, response, true).await,
             None => ConnectionAction::Close,
         };
@@ -297,6 +340,7 @@
     let close = !keeps_alive(&parts);
     let buffered_bytes = buffered.len() as u64;
     let response = match RoutedRequest::new(gateway, &parts) {
+        _ if origin == Origin::Peer => RoutedRequest::refuse_stream(gateway, request_id.as_ref()),
         Err(response) => Response::Local(response),
         Ok(routed) => {
             let source = BodySource {
@@ -317,6 +361,24 @@
     write(gateway, connection, response, true).await
 }
 
+/// Runs work for another entry VM and tells it at intervals that the work is under way; `None` if
+/// it disconnects first.
+async fn with_progress<F>(
+    connection: &mut HttpConnection,
+    mut work: Pin<&mut F>,
+) -> Option<F::Output>
+where
+    F: Future,
+{
+    loop {
+        let step = until_disconnected(connection, work.as_mut());
+        if let Ok(output) = time::timeout(PROGRESS_INTERVAL, step).await {
+            return output;
+        }
+        connection.write(PROGRESS.to_vec()).await.ok()?;
+    }
+}
+
 /// Reads a body to its end (true), or until [`MAX_BUFFERED_BYTES`] are buffered (false).
 async fn read_request_body(
     connection: &mut HttpConnection,
@@ -370,9 +432,13 @@
     }
 }
 
-fn head_limits(limits: &Limits) -> HeadLimits {
+fn head_limits(origin: Origin, limits: &Limits) -> HeadLimits {
+    let hop_bytes = match origin {
+        Origin::Caller => 0,
+        Origin::Peer => HOP_HEAD_BYTES,
+    };
     HeadLimits {
-        head_bytes: limits.header_bytes,
+        head_bytes: limits.header_bytes.saturating_add(hop_bytes),
         body_bytes: limits.body_bytes,
     }
 }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -11,6 +11,7 @@
 use http::{Request, Response, StatusCode};
 use monoio::net::TcpListener;
 
+use super::caller::Origin;
 use super::control_poll::{self, Seeds};
 use super::{Gateway, HeaderNames, caller};
 use crate::clock;
@@ -33,6 +34,9 @@
 /// Limit of open caller connections, well below the process's file descriptor limit.
 const MAX_CALLER_CONNECTIONS: usize = 2500;
 
+/// Limit of open connections of other entry VMs; they count as callers' too.
+const MAX_PEER_CONNECTIONS: usize = 600;
+
 /// Share of the grace period that requests in flight get: after five sixths of it they may
 /// be abandoned, and the responses queued behind them still have to be sent.
 const REQUEST_GRACE_RATIO: f64 = 0.86;
@@ -74,6 +78,11 @@
     monoio::spawn(polling);
     monoio::spawn(serve_readiness(ready, Rc::clone(&gateway)));
     monoio::spawn(accept_callers(callers, Rc::clone(&gateway)));
+    match bind(settings.peer) {
+        Ok(peers) => drop(monoio::spawn(accept_peers(peers, Rc::clone(&gateway)))),
+        // Other entry VMs then send directly or through the next relay VM.
+        Err(error) => log::warn!("event=gateway.no_relay error={:?}", error.to_string()),
+    }
     poll_until_stopped(&source, &signals, &gateway, &seeds, &journal).await;
     shut_down(&settings, &gateway, &journal).await;
     Ok(())
@@ -103,6 +112,39 @@
     }
 }
 
+/// Accepts connections of other entry VMs, whose requests this VM relays.
+async fn accept_peers(listener: TcpListener, gateway: Rc<Gateway>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                handle_accept_error(&error).await;
+                continue;
+            }
+        };
+        let open = &gateway.relay.peer_connections;
+        let is_crowded = gateway.stop.open_count() >= MAX_CALLER_CONNECTIONS;
+        if is_crowded || open.get() >= MAX_PEER_CONNECTIONS {
+            log::warn!("event=gateway.peers_crowded open={}", open.get());
+            continue;
+        }
+        open.set(open.get() + 1);
+        let gateway = Rc::clone(&gateway);
+        monoio::spawn(async move {
+            let work = pin!(caller::serve_from(
+                Origin::Peer,
+                Rc::clone(&gateway),
+                stream
+            ));
+            if guard::catch_panic(work).await.is_none() {
+                log::error!("event=gateway.panic");
+            }
+            let open = &gateway.relay.peer_connections;
+            open.set(open.get().saturating_sub(1));
+        });
+    }
+}
+
 async fn handle_accept_error(error: &io::Error) {
     log::warn!("event=gateway.accept error={:?}", error.to_string());
     monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -152,6 +194,7 @@
                 .borrow()
                 .all_backends()
                 .for_each(|b| b.close_expired(now));
+            gateway.relay.sweep(&gateway.routing.borrow(), now);
         }
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,6 +19,8 @@
 use super::backend_connection::{BackendConnection, ConnectionUse};
 use super::head::{self, ForwardedHead, ReportedLoad};
 use super::notices;
+use super::relay::{self, HOP_IDLE_TIMEOUT, Hop};
+use super::relayed::Rejection;
 use super::response::{self, BackendResponse, ResponseBody, StreamingBody};
 use crate::clock;
 use crate::web::connection::{BodyEvent, BodyReader, HeadLimits, HttpConnection, ResponseHead};
@@ -75,6 +77,8 @@
     pub outcome: Outcome,
     /// Connection.
     pub connection: Option<ConnectionUse>,
+    /// Whether the request was sent through a relay VM, so that the time includes its queue.
+    pub relayed: bool,
 }
 
 /// Body of a request.
@@ -112,8 +116,12 @@
     pub deadline: Instant,
     /// Longest idle time of a pooled connection to use.
     pub max_idle: Duration,
-    /// Limit of this VM's connections to the backend server.
+    /// Limit of this VM's connections to the other end.
     pub max_connections: u32,
+    /// Relay VM that the request is sent through.
+    pub relay: Option<&'a Hop>,
+    /// Where the head of a response is kept that says that the request was not run.
+    pub rejection: Option<&'a Rejection>,
 }
 
 /// Sends a request and waits for the response until the deadline.
@@ -123,6 +131,7 @@
     body: RequestBody<'_>,
 ) -> AttemptResult {
     let in_flight = backend.start_request();
+    let _hop_in_flight = attempt.relay.map(|hop| hop.peer.start_request());
     let sent_on = Cell::new(None);
     let left = attempt.deadline.saturating_duration_since(clock::now());
     let exchange = run_exchange(backend, attempt, body, &sent_on, in_flight);
@@ -131,9 +140,16 @@
         Err(_) if sent_on.get().is_some() => Outcome::TimedOut,
         Err(_) => Outcome::NotSent("no time left"),
     };
+    let outcome = match (outcome, attempt.relay) {
+        (Outcome::Dropped, Some(hop)) if !hop.is_answered() => {
+            Outcome::Interrupted("the relay VM dropped the connection unanswered")
+        }
+        (outcome, _) => outcome,
+    };
     AttemptResult {
         outcome,
         connection: sent_on.get(),
+        relayed: attempt.relay.is_some(),
     }
 }
 
@@ -145,11 +161,12 @@
     in_flight: InFlightGuard,
 ) -> Outcome {
     let request_id = attempt.head.request_id.as_ref();
-    let pooled = backend.take_idle(attempt.max_idle, request_id);
+    let peer = attempt.relay.map_or(backend, |hop| &hop.peer);
+    let pooled = peer.take_idle(attempt.max_idle, request_id);
     let is_new_connection = pooled.is_none();
     let mut connection = match pooled {
         Some(connection) => connection,
-        None => match connect(backend, attempt.max_connections).await {
+        None => match connect(peer, attempt.max_connections).await {
             Ok(connection) => connection,
             Err(reason) => return Outcome::NotSent(reason),
         },
@@ -166,6 +183,9 @@
         left,
         length,
     );
+    if attempt.relay.is_some() {
+        relay::mark_request(&mut head);
+    }
     sent_on.set(Some(connection.record_request(request_id)));
     let is_full_body = matches!(body, RequestBody::Full(_));
     let fully_sent = match body {
@@ -272,14 +292,17 @@
 ) -> Outcome {
     let mut mismatched = 0;
     loop {
-        let ResponseHead { parts, mut body } =
-            match read_response_head(&mut connection.http, attempt).await {
-                Ok(head) => head,
-                Err(_) if is_new_connection && connection.http.received_bytes() == 0 => {
-                    return Outcome::Dropped;
-                }
-                Err(reason) => return Outcome::Interrupted(reason),
-            };
+        let ResponseHead {
+            mut parts,
+            mut body,
+        } = match read_response_head(&mut connection.http, attempt).await {
+            Ok(head) => head,
+            Err(_) if is_new_connection && connection.http.received_bytes() == 0 => {
+                return Outcome::Dropped;
+            }
+            Err(reason) => return Outcome::Interrupted(reason),
+        };
+        let relay_reason = relay::take_reason(&mut parts.headers);
         notices::record_leaving(attempt.gateway, backend, &parts.headers);
         let response_id = parts.headers.get(&attempt.gateway.header_names.request_id);
         let matches_request = match (response_id, &attempt.head.request_id) {
@@ -287,7 +310,11 @@
             (None, Some(_)) => is_new_connection && mismatched == 0,
             (_, None) => is_new_connection,
         };
-        if matches_request && parts.status == StatusCode::SERVICE_UNAVAILABLE {
+        let relay_outcome = attempt.relay.filter(|_| matches_request).and_then(|hop| {
+            hop.outcome(relay_reason, &parts.headers, &attempt.gateway.header_names)
+        });
+        let is_from_server = relay_outcome.is_none();
+        if matches_request && is_from_server && parts.status == StatusCode::SERVICE_UNAVAILABLE {
             notices::record_quiet(attempt.gateway, backend, &parts.headers);
         }
         let read = read_response_body(&mut connection.http, &mut body).await;
@@ -303,10 +330,8 @@
             return Outcome::Interrupted("its answer broke off");
         };
         let reusable = fully_sent && mismatched == 0;
-        if parts
-            .headers
-            .contains_key(&attempt.gateway.header_names.not_executed)
-        {
+        let rejected = relay_outcome.or_else(|| rejection(attempt, &parts));
+        if let Some(outcome) = rejected {
             return_to_pool(
                 backend,
                 attempt,
@@ -315,13 +340,7 @@
                 &body,
                 reusable,
             );
-            return match parts.status {
-                StatusCode::MISDIRECTED_REQUEST => Outcome::Misdirected,
-                _ => Outcome::Full(head::reported_load(
-                    &parts.headers,
-                    &attempt.gateway.header_names,
-                )),
-            };
+            return outcome;
         }
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
             return Outcome::Misdirected;
@@ -364,11 +383,26 @@
             content_length,
             deadline: attempt.deadline,
             in_flight,
+            seat: None,
         };
         return Outcome::Responded(response(ResponseBody::Streaming(Box::new(streaming))));
     }
 }
 
+/// Outcome of a response that is marked as not run, whose head is kept if the attempt asks for it.
+fn rejection(attempt: &Attempt<'_>, parts: &http::response::Parts) -> Option<Outcome> {
+    let names = &attempt.gateway.header_names;
+    let is_marked = parts.headers.contains_key(&names.not_executed);
+    let is_kept = is_marked || parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if let Some(kept) = attempt.rejection.filter(|_| is_kept) {
+        *kept.borrow_mut() = Some((parts.status, parts.headers.clone()));
+    }
+    is_marked.then(|| match parts.status {
+        StatusCode::MISDIRECTED_REQUEST => Outcome::Misdirected,
+        _ => Outcome::Full(head::reported_load(&parts.headers, names)),
+    })
+}
+
 /// Reads the head of a response and skips interim ones.
 async fn read_response_head(
     connection: &mut HttpConnection,
@@ -379,7 +413,7 @@
         match connection.decode_response_head(RESPONSE_HEAD_LIMITS, attempt.head.bodiless) {
             Ok(Some(head)) if head.parts.status.is_informational() => {
                 interim += 1;
-                if interim > MAX_INTERIM_RESPONSES {
+                if interim > MAX_INTERIM_RESPONSES && attempt.relay.is_none() {
                     return Err("it sent interim responses without end");
                 }
                 continue;
@@ -389,6 +423,10 @@
             Err(DecodeError::Io(_)) => return Err("the connection broke"),
             Err(_) => return Err("it sent no answer but other bytes"),
         }
+        if let Some(hop) = attempt.relay {
+            hop.fill(connection).await?;
+            continue;
+        }
         match connection.fill().await {
             Ok(0) => return Err("it closed the connection"),
             Ok(_) => {}
@@ -440,10 +478,11 @@
         .filter_map(|v| v.to_str().ok())
         .any(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case("close")));
     if reusable && has_framing && !closes && body.is_done() && connection.http.is_idle() {
-        backend.put_idle(
-            connection,
-            head::keep_alive_timeout(headers),
-            attempt.max_connections,
-        );
+        let peer = attempt.relay.map_or(backend, |hop| &*hop.peer);
+        let idle_timeout = match attempt.relay {
+            Some(_) => Some(HOP_IDLE_TIMEOUT),
+            None => head::keep_alive_timeout(headers),
+        };
+        peer.put_idle(connection, idle_timeout, attempt.max_connections);
     }
 }
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -8,6 +8,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header, request};
 
+use super::relay::RELAY_HEADER;
 use crate::clock;
 use crate::fleet::Key;
 
@@ -68,6 +69,7 @@
             &header_names.expected_server,
             &header::CONTENT_LENGTH,
             &header::EXPECT,
+            &RELAY_HEADER,
         ];
         write_headers(&mut bytes, &parts.headers, |name| {
             overridden.contains(&name)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,10 +18,13 @@
 pub mod exchange;
 pub mod head;
 mod notices;
+pub mod relay;
+mod relayed;
 pub mod request;
 pub mod response;
 mod response_writer;
 pub mod routing;
+pub mod seat_queue;
 pub mod seats;
 pub mod selection;
 #[cfg(test)]
@@ -59,6 +62,8 @@
     pub drain: Cell<Duration>,
     /// Requests per key that were not yet reported to the control VMs.
     pub loads: RefCell<LoadCounts>,
+    /// State as relay VM, and as sender to relay VMs.
+    pub relay: relay::Relay,
     /// Asks caller connections to close.
     pub stop: StopHandle,
     /// Aborts requests in flight, so that the responses queued behind them are still sent.
@@ -96,6 +101,7 @@
             noticed: Notify::default(),
             drain: Cell::new(DEFAULT_DRAIN),
             loads: RefCell::default(),
+            relay: relay::Relay::default(),
             stop: StopHandle::default(),
             abort: StopHandle::default(),
             accept_until: Cell::default(),
--- /dev/null
+++ b/src/gateway/relayed.rs
@@ -0,0 +1,330 @@
+//! Requests on their way through a relay VM, at the sender and at the relay VM.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header, request};
+
+use super::Gateway;
+use super::attempts::Attempts;
+use super::backend::Backend;
+use super::exchange::{self, Attempt, AttemptResult, Outcome, RequestBody};
+use super::head::{self, ForwardedHead};
+use super::relay::{Choice, HopResult, MAX_HOP_CONNECTIONS, RELAY_HEADER, RELAY_VERSION, Reason};
+use super::request::{self as routed, RoutedRequest};
+use super::response::{BackendResponse, Response, ResponseBody};
+use super::seats::SeatRequest;
+use super::selection;
+use crate::clock;
+
+/// Share by which the returns of refused callers are spread.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// Suggested wait when a request that no relay VM took finds no capacity.
+const DIRECT_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Status and headers of a response that says that the server did not run the request.
+pub(super) type Rejection = RefCell<Option<(StatusCode, HeaderMap)>>;
+
+/// Request that was sent, with what is recorded with its result.
+pub(super) struct SendResult {
+    pub(super) result: AttemptResult,
+    pub(super) sent_at: Instant,
+    /// Load of the server when the request was sent.
+    pub(super) load: f64,
+}
+
+impl RoutedRequest {
+    /// Whether the request is relayed to the owner of its key.
+    pub(super) fn is_to_relay(
+        &self,
+        routing: &super::routing::RoutingState,
+        backend: &Backend,
+    ) -> bool {
+        let relay = &self.gateway.relay;
+        self.key.is_some() && relay.is_enabled(routing, &self.service, backend)
+    }
+
+    /// Sends a request, through the relay VM of its owner if there is one.
+    ///
+    /// # Errors
+    ///
+    /// The time until capacity is expected, if the request was refused before it was sent.
+    pub(super) async fn send(
+        &self,
+        backend: &Rc<Backend>,
+        body: &Bytes,
+    ) -> Result<SendResult, Duration> {
+        let choices = {
+            let routing = self.gateway.routing.borrow();
+            let enabled = !self.relay_failed.get() && self.is_to_relay(&routing, backend);
+            enabled.then(|| {
+                let relay = &self.gateway.relay;
+                relay.choices(&routing, backend, clock::now())
+            })
+        };
+        let is_relayed = choices.is_some();
+        for choice in choices.into_iter().flatten() {
+            let hop = match choice {
+                Choice::Local => return self.send_queued(backend, body, None).await,
+                Choice::Peer(hop) => hop,
+            };
+            let attempt = Attempt {
+                relay: Some(&hop),
+                max_connections: MAX_HOP_CONNECTIONS,
+                ..self.attempt()
+            };
+            let sent_at = clock::now();
+            let load = backend.load(sent_at);
+            let body = RequestBody::Full(body.clone());
+            let result = exchange::exchange(backend, &attempt, body).await;
+            let now = clock::now();
+            match hop.result(&result.outcome, now) {
+                HopResult::Refused(after) => {
+                    self.gateway.relay.record_success(&hop);
+                    return Err(after);
+                }
+                HopResult::Unavailable if now < self.deadline => {
+                    self.gateway.relay.record_failure(&hop, now);
+                    continue;
+                }
+                HopResult::Failed => {
+                    self.gateway.relay.record_failure(&hop, now);
+                    self.relay_failed.set(true);
+                }
+                HopResult::Completed if hop.is_answered() => {
+                    self.gateway.relay.record_success(&hop);
+                }
+                HopResult::Completed | HopResult::Unavailable => {}
+            }
+            return Ok(SendResult {
+                result,
+                sent_at,
+                load,
+            });
+        }
+        if is_relayed {
+            let routing = self.gateway.routing.borrow();
+            if !selection::has_capacity(backend, &self.selection_context(&routing)) {
+                return Err(DIRECT_RETRY_AFTER);
+            }
+        }
+        let sent_at = clock::now();
+        let load = backend.load(sent_at);
+        let body = RequestBody::Full(body.clone());
+        let result = exchange::exchange(backend, &self.attempt(), body).await;
+        Ok(SendResult {
+            result,
+            sent_at,
+            load,
+        })
+    }
+
+    /// Waits in the queue of a server and sends the request to it.
+    async fn send_queued(
+        &self,
+        backend: &Rc<Backend>,
+        body: &Bytes,
+        rejection: Option<&Rejection>,
+    ) -> Result<SendResult, Duration> {
+        let overloaded = backend.overloaded_for(clock::now());
+        if clock::now() + overloaded >= self.deadline {
+            return Err(overloaded);
+        }
+        if !overloaded.is_zero() {
+            monoio::time::sleep(overloaded).await;
+        }
+        let request = SeatRequest {
+            kind: Arc::clone(&self.route.name),
+            rank: self.route.rank,
+            target: self.route.latency_target,
+            arrived_at: self.arrived_at,
+            deadline: self.deadline,
+        };
+        let queues = &self.gateway.relay.queues;
+        let seat = queues.acquire(backend, request).await?;
+        let direct = self.attempt();
+        let attempt = Attempt {
+            // All places may be taken by this VM.
+            max_connections: direct.max_connections.max(backend.server().slots),
+            rejection,
+            ..direct
+        };
+        let sent_at = clock::now();
+        let load = backend.load(sent_at);
+        let body = RequestBody::Full(body.clone());
+        let mut result = exchange::exchange(backend, &attempt, body).await;
+        if let Outcome::Responded(response) = &mut result.outcome {
+            seat.set_served();
+            if let ResponseBody::Streaming(streaming) = &mut response.body {
+                streaming.seat = Some(seat);
+            }
+        }
+        Ok(SendResult {
+            result,
+            sent_at,
+            load,
+        })
+    }
+
+    /// Matches a request of another entry VM to a route and a server.
+    fn from_peer(
+        gateway: &Rc<Gateway>,
+        parts: &request::Parts,
+    ) -> Result<(Self, Rc<Backend>), Refusal> {
+        let unknown = Refusal::new(Reason::Unknown, Duration::ZERO);
+        let arrived_at = clock::now();
+        if gateway.stop.is_stopping() {
+            return Err(Refusal::new(Reason::Stopping, Duration::ZERO));
+        }
+        let version = parts.headers.get(RELAY_HEADER);
+        if version.is_none_or(|v| v.as_bytes() != RELAY_VERSION.as_bytes()) {
+            return Err(unknown);
+        }
+        let routing = gateway.routing.borrow();
+        let names = &gateway.header_names;
+        let server = parts.headers.get(&names.expected_server);
+        let server = server.and_then(|s| s.to_str().ok());
+        let backend = server.and_then(|s| routing.backend(s)).ok_or(unknown)?;
+        let host = routed::host(parts).ok_or(unknown)?;
+        let route = routing.lookup.find(host, parts.uri.path());
+        let route = route.ok_or(unknown)?;
+        let service = Arc::clone(&backend.server().service);
+        if !route.services().any(|s| *s == service) {
+            return Err(unknown);
+        }
+        if !backend.accepts_requests(gateway.drain.get(), arrived_at) {
+            return Err(unknown);
+        }
+        if backend.is_backing_off(arrived_at) {
+            return Err(Refusal::new(Reason::NotSent, Duration::ZERO));
+        }
+        let quiet = backend.quiet_for(arrived_at);
+        if !quiet.is_zero() {
+            return Err(Refusal::new(Reason::Queue, quiet));
+        }
+        let requested = head::parse_number(&parts.headers, &names.deadline);
+        let timeout = requested.map_or(route.timeout, Duration::from_millis);
+        let request = Self {
+            gateway: Rc::clone(gateway),
+            route: Arc::clone(route),
+            service,
+            key: head::shard_key(&parts.headers, names),
+            head: ForwardedHead::new(parts, names),
+            arrived_at,
+            deadline: arrived_at + timeout.min(route.timeout),
+            is_from_peer: true,
+            relay_failed: Cell::new(false),
+        };
+        Ok((request, Rc::clone(backend)))
+    }
+
+    /// Runs a request of another entry VM: one attempt at the server that it names.
+    pub(super) async fn run_from_peer(
+        gateway: &Rc<Gateway>,
+        parts: &request::Parts,
+        body: Bytes,
+    ) -> Response {
+        let id = parts.headers.get(&gateway.header_names.request_id);
+        let (request, backend) = match Self::from_peer(gateway, parts) {
+            Ok(matched) => matched,
+            Err(refusal) => return refusal.response(gateway, id),
+        };
+        let rejection = Rejection::default();
+        let sent = request.send_queued(&backend, &body, Some(&rejection)).await;
+        let SendResult {
+            result,
+            sent_at,
+            load,
+        } = match sent {
+            Ok(sent) => sent,
+            Err(after) => {
+                let spread = after.mul_f64(1.0 + RETRY_SPREAD * fastrand::f64());
+                return Refusal::new(Reason::Queue, spread).response(gateway, id);
+            }
+        };
+        let reason = match &result.outcome {
+            Outcome::Responded(_) | Outcome::Full(_) | Outcome::Misdirected => Reason::Answered,
+            Outcome::NotSent(_) => Reason::NotSent,
+            Outcome::Dropped => Reason::Dropped,
+            Outcome::Interrupted(_) => Reason::Broken,
+            Outcome::TimedOut => Reason::TimedOut,
+        };
+        let mut attempts = Attempts::default();
+        let response = request.handle_outcome(&backend, result, &mut attempts, sent_at, load);
+        let answered = match response {
+            Some(Response::Backend(response)) => Some(response),
+            Some(Response::Local(_)) => None,
+            None => attempts.fallback.or_else(|| rejected(&rejection)),
+        };
+        match answered {
+            Some(mut response) if reason == Reason::Answered => {
+                let value = HeaderValue::from_static(reason.as_str());
+                response.headers.insert(RELAY_HEADER, value);
+                Response::Backend(response)
+            }
+            // A rejection whose head was not kept proves nothing.
+            _ if reason == Reason::Answered => {
+                Refusal::new(Reason::Broken, Duration::ZERO).response(gateway, id)
+            }
+            _ => Refusal::new(reason, Duration::ZERO).response(gateway, id),
+        }
+    }
+
+    /// Refuses a request whose body is not complete.
+    pub(super) fn refuse_stream(gateway: &Gateway, id: Option<&HeaderValue>) -> Response {
+        Refusal::new(Reason::Unknown, Duration::ZERO).response(gateway, id)
+    }
+}
+
+/// Response of a server that did not run the request, without its body.
+fn rejected(rejection: &Rejection) -> Option<BackendResponse> {
+    let (status, headers) = rejection.take()?;
+    Some(BackendResponse {
+        status,
+        headers,
+        body: ResponseBody::Empty(Some(0)),
+    })
+}
+
+/// Response that a relay VM gives itself.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    reason: Reason,
+    retry_after: Duration,
+}
+
+impl Refusal {
+    const fn new(reason: Reason, retry_after: Duration) -> Self {
+        Self {
+            reason,
+            retry_after,
+        }
+    }
+
+    fn response(self, gateway: &Gateway, id: Option<&HeaderValue>) -> Response {
+        let names = &gateway.header_names;
+        let mut headers = HeaderMap::new();
+        headers.insert(RELAY_HEADER, HeaderValue::from_static(self.reason.as_str()));
+        if self.reason.is_not_run() {
+            headers.insert(names.not_executed.clone(), HeaderValue::from_static("1"));
+        }
+        if let Some(id) = id {
+            headers.insert(names.request_id.clone(), id.clone());
+        }
+        let seconds = format!("{:.3}", self.retry_after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds)
+            && !self.retry_after.is_zero()
+        {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+        Response::Backend(BackendResponse {
+            status: self.reason.status(),
+            headers,
+            body: ResponseBody::Empty(Some(0)),
+        })
+    }
+}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Processing of one request from its route to the final response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 use super::budget::RetryRequest;
 use super::exchange::{self, Attempt, AttemptResult, BodySource, Outcome, RequestBody};
 use super::head::{self, ForwardedHead};
+use super::relayed::SendResult;
 use super::response::{BackendResponse, LocalResponse, Response, ResponseBody};
 use super::routing::KeyOwner;
 use super::selection::{self, SelectionContext};
@@ -61,13 +63,17 @@
 /// Request matched to a route.
 #[derive(Debug)]
 pub struct RoutedRequest {
-    gateway: Rc<Gateway>,
-    route: Arc<Route>,
-    service: ids::ServiceName,
-    key: Option<Key>,
-    head: ForwardedHead,
-    arrived_at: Instant,
-    deadline: Instant,
+    pub(super) gateway: Rc<Gateway>,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ids::ServiceName,
+    pub(super) key: Option<Key>,
+    pub(super) head: ForwardedHead,
+    pub(super) arrived_at: Instant,
+    pub(super) deadline: Instant,
+    /// Whether another entry VM has sent the request to this one as the relay VM.
+    pub(super) is_from_peer: bool,
+    /// Whether a relay VM failed while it had the request, so that a retry goes directly.
+    pub(super) relay_failed: Cell<bool>,
 }
 
 impl RoutedRequest {
@@ -118,6 +124,8 @@
             head: ForwardedHead::new(parts, &gateway.header_names),
             arrived_at,
             deadline: arrived_at + timeout.min(route.timeout),
+            is_from_peer: false,
+            relay_failed: Cell::new(false),
         })
     }
 
@@ -139,11 +147,18 @@
             if attempts.sent > 0 && !self.try_retry(&attempts) {
                 return self.give_up(attempts);
             }
-            let sent_at = clock::now();
-            let load = backend.load(sent_at);
-            let attempt = self.attempt();
-            let body = RequestBody::Full(body.clone());
-            let result = exchange::exchange(&backend, &attempt, body).await;
+            let sent = match self.send(&backend, &body).await {
+                Ok(sent) => sent,
+                Err(after) => {
+                    attempts.unavailable = Some(Unavailable::Overloaded(after));
+                    return self.give_up(attempts);
+                }
+            };
+            let SendResult {
+                result,
+                sent_at,
+                load,
+            } = sent;
             if let Some(response) =
                 self.handle_outcome(&backend, result, &mut attempts, sent_at, load)
             {
@@ -175,7 +190,7 @@
         response.unwrap_or_else(|| self.give_up(attempts))
     }
 
-    fn attempt(&self) -> Attempt<'_> {
+    pub(super) fn attempt(&self) -> Attempt<'_> {
         let max_connections = self
             .selection_context(&self.gateway.routing.borrow())
             .max_connections;
@@ -188,6 +203,8 @@
                 Idempotency::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
                 Idempotency::Idempotent => MAX_IDLE_IDEMPOTENT,
             },
+            relay: None,
+            rejection: None,
         }
     }
 
@@ -200,7 +217,7 @@
     }
 
     /// Records the outcome of an attempt; returns the response if it was the last one.
-    fn handle_outcome(
+    pub(super) fn handle_outcome(
         &self,
         backend: &Rc<Backend>,
         result: AttemptResult,
@@ -211,6 +228,7 @@
         let AttemptResult {
             outcome,
             connection,
+            relayed,
         } = result;
         let at_most_once = self.route.idempotency == Idempotency::AtMostOnce;
         if !matches!(outcome, Outcome::NotSent(_)) {
@@ -220,7 +238,7 @@
         match outcome {
             Outcome::Responded(response) => {
                 let failed = response.status.is_server_error();
-                let latency = self.relative_latency(backend, sent_at, load, failed);
+                let latency = self.relative_latency(backend, sent_at, load, failed || relayed);
                 let reported = head::reported_load(&response.headers, &self.gateway.header_names);
                 backend.record_response(latency, reported, failed);
                 if let Some(key) = self.key {
@@ -282,6 +300,10 @@
                 attempts.timed_out = true;
             }
         }
+        if self.is_from_peer {
+            // The sender decides whether another attempt follows.
+            return None;
+        }
         attempts.tried.push(Rc::clone(backend));
         let is_final =
             clock::now() >= self.deadline || attempts.connect_failures >= MAX_CONNECT_FAILURES;
@@ -409,8 +431,10 @@
                     {
                         return Err(Unavailable::Overloaded(b.overloaded_for(now)));
                     }
+                    // The relay VM knows whether the owner has capacity.
                     KeyOwner::Backend(b)
-                        if selection::has_capacity(&b, &self.selection_context(&routing)) =>
+                        if self.is_to_relay(&routing, &b)
+                            || selection::has_capacity(&b, &self.selection_context(&routing)) =>
                     {
                         return Ok(b);
                     }
@@ -433,7 +457,10 @@
         }
     }
 
-    fn selection_context(&self, routing: &super::routing::RoutingState) -> SelectionContext<'_> {
+    pub(super) fn selection_context(
+        &self,
+        routing: &super::routing::RoutingState,
+    ) -> SelectionContext<'_> {
         let limit = routing
             .service(&self.service)
             .map_or(1, |s| s.max_connections);
@@ -496,7 +523,7 @@
 }
 
 /// Returns the host of a request without its port.
-fn host(parts: &request::Parts) -> Option<&str> {
+pub(super) fn host(parts: &request::Parts) -> Option<&str> {
     let header = parts
         .headers
         .get(header::HOST)
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -7,6 +7,7 @@
 
 use super::backend::InFlightGuard;
 use super::head::{self, Framing};
+use super::seat_queue::SeatGuard;
 use crate::web::connection::{BodyReader, HttpConnection};
 use crate::web::decode::is_bodiless;
 
@@ -58,6 +59,8 @@
     pub deadline: Instant,
     /// Counts the request as in flight until dropped.
     pub in_flight: InFlightGuard,
+    /// Place in the queue of the server, if the request had one.
+    pub seat: Option<SeatGuard>,
 }
 
 /// Response to a caller.
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -144,6 +144,11 @@
         self.services.get(service).map_or(&[], |b| b)
     }
 
+    /// Returns a backend server by its name.
+    pub fn backend(&self, name: &str) -> Option<&Rc<Backend>> {
+        self.backends.get(name)
+    }
+
     /// Iterates over the backend servers of all services.
     pub fn all_backends(&self) -> impl Iterator<Item = &Rc<Backend>> {
         self.backends.values()
