--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -7,6 +7,7 @@
 mod head;
 mod mock;
 mod notices;
+mod relay;
 mod requests;
 mod routing;
 mod seats;
