Relay: refusals reach the sender before its deadline; bounds of VMs

A request that waited until its deadline was answered 504 at the sender although it never ran; it is now refused 20 ms earlier. Without time left a failed hop no longer counts against the server.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -38,6 +38,10 @@
 /// sees enough of a server's requests.
 const MIN_VMS_PER_SLOT: u32 = 4;
 
+/// Entry VMs above which requests are not relayed: each may keep a connection to each relay VM, and a
+/// relay VM has descriptors for 600 of them.
+const MAX_VMS: u32 = 500;
+
 /// Relay VMs that are asked before a request is sent directly.
 const MAX_RELAYS: usize = 2;
 
@@ -277,6 +281,7 @@
         let slots = backend.server().slots.max(1);
         routing.local_vm.is_some()
             && routing.entry_vm_count() > slots.saturating_mul(MIN_VMS_PER_SLOT)
+            && routing.entry_vm_count() <= MAX_VMS
             && self.is_competing(routing, service)
     }
 
--- a/src/gateway/relayed.rs
+++ b/src/gateway/relayed.rs
@@ -23,6 +23,9 @@
 /// Share by which the returns of refused callers are spread.
 const RETRY_SPREAD: f64 = 0.5;
 
+/// Time before the deadline at which a request in the queue is refused at the latest.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
+
 /// Suggested wait when a request that no relay VM took finds no capacity.
 const DIRECT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -98,7 +101,9 @@
                 HopResult::Completed if hop.is_answered() => {
                     self.gateway.relay.record_success(&hop);
                 }
-                HopResult::Completed | HopResult::Unavailable => {}
+                // Nothing was sent, and no time is left for another way.
+                HopResult::Unavailable => return Err(DIRECT_RETRY_AFTER),
+                HopResult::Completed => {}
             }
             return Ok(SendResult {
                 result,
@@ -137,12 +142,19 @@
         if !overloaded.is_zero() {
             monoio::time::sleep(overloaded).await;
         }
+        // The refusal of a request from another VM must arrive there before that VM gives up.
+        let margin = if self.is_from_peer {
+            REFUSAL_MARGIN
+        } else {
+            Duration::ZERO
+        };
+        let deadline = self.deadline.checked_sub(margin);
         let request = SeatRequest {
             kind: Arc::clone(&self.route.name),
             rank: self.route.rank,
             target: self.route.latency_target,
             arrived_at: self.arrived_at,
-            deadline: self.deadline,
+            deadline: deadline.unwrap_or(self.deadline),
         };
         let queues = &self.gateway.relay.queues;
         let seat = queues.acquire(backend, request).await?;
--- a/src/gateway/seat_queue.rs
+++ b/src/gateway/seat_queue.rs
@@ -98,6 +98,7 @@
 
     async fn acquire(self: &Rc<Self>, request: SeatRequest) -> Result<SeatGuard, Duration> {
         let last_place_at = Seats::last_place_at(&request);
+        let deadline = request.deadline;
         let now = clock::now();
         self.used_at.set(now);
         let id = self.seats.borrow_mut().arrive(request, now);
@@ -112,11 +113,11 @@
         self.decide(now);
         loop {
             let now = clock::now();
-            let until_last_place = last_place_at.saturating_duration_since(now);
-            let pause = match until_last_place {
-                Duration::ZERO => RECHECK_INTERVAL,
-                until_last_place => until_last_place.min(RECHECK_INTERVAL),
-            };
+            let changes = [last_place_at, deadline].into_iter();
+            let next_change = changes.filter(|at| *at > now).min();
+            let pause =
+                next_change.map_or(RECHECK_INTERVAL, |at| at.saturating_duration_since(now));
+            let pause = pause.min(RECHECK_INTERVAL);
             match monoio::time::timeout(pause, &mut waiting.receiver).await {
                 Ok(Ok(Decision::Start)) => {
                     waiting.has_place = true;
--- a/src/gateway/tests/relay.rs
+++ b/src/gateway/tests/relay.rs
@@ -275,6 +275,28 @@
     });
 }
 
+/// Fails if a request that waits for a place until its deadline ends as one that may have run, while
+/// the time that requests take is not known yet.
+#[test]
+fn a_request_that_got_no_place_is_answered_as_not_run() {
+    runtime::run(async {
+        let backend = MockBackend::start(vec![vec![Action::Wait]; 4]);
+        let pair = Pair::new(&backend);
+        let mut callers = Vec::new();
+        for id in 0..4 {
+            let mut caller = pair.sender.connect().await;
+            let request = KEYED.replace("x-request: 7", &format!("x-request: {id}"));
+            send_text(&mut caller, &request).await;
+            callers.push(caller);
+        }
+        wait_until(|| pair.relayed() == (4, 0)).await;
+        let late = KEYED_ONCE.replace("x-request: 7", "x-request: 9\nx-deadline: 400");
+        let response = pair.sender.request(&late).await;
+        assert_eq!(status_code(&response), 503);
+        assert_eq!(backend.requests.borrow().len(), 4);
+    });
+}
+
 /// Fails if requests wait for or are refused by a relay VM that is down, or if it is asked again at
 /// once.
 #[test]
@@ -350,6 +372,8 @@
         let stop = &pair.relay.gateway.stop;
         assert!(stop.wait_closed(Duration::from_secs(20)).await);
         assert_eq!(backend.requests.borrow().len(), 2);
+        let answered = pair.relay.gateway.counters.answered.get();
+        assert_eq!(answered, 1, "only the request in flight");
     });
 }
 
@@ -444,6 +468,12 @@
         vms.truncate(16);
         fixture.gateway.routing.borrow_mut().vms = vms;
         assert!(!enabled("owned"), "16 VMs and 4 slots");
+        let many = (0..501_u16).map(|i| {
+            let address = SocketAddr::from(([127, 0, 0, 1], i + 1));
+            entry_vm(format!("vm-{i}"), "near", address)
+        });
+        fixture.gateway.routing.borrow_mut().vms = many.collect();
+        assert!(!enabled("owned"), "more VMs than connections");
     });
 }
 
