--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,10 +19,14 @@
 pub mod head;
 pub mod hedge;
 mod notices;
+pub mod relay;
+mod relayed;
 pub mod request;
 pub mod response;
 mod response_writer;
 pub mod routing;
+pub mod seat_queue;
+pub mod seats;
 pub mod selection;
 #[cfg(test)]
 mod tests;
@@ -63,6 +67,8 @@
     pub evacuation: Cell<Duration>,
     /// Requests per key that were not yet reported to the control VMs.
     pub loads: RefCell<LoadCounts>,
+    /// State as relay VM, and as sender to relay VMs.
+    pub relay: relay::Relay,
     /// Asks caller connections to close.
     pub stop: StopHandle,
     /// Aborts requests in flight, so that the responses queued behind them are still sent.
@@ -107,6 +113,7 @@
             drain: Cell::new(DEFAULT_DRAIN),
             evacuation: Cell::new(DEFAULT_EVACUATION),
             loads: RefCell::default(),
+            relay: relay::Relay::default(),
             stop: StopHandle::default(),
             abort: StopHandle::default(),
             accept_until: Cell::default(),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Processing of one request from its route to the final response.
 
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use super::exchange::{self, Attempt, AttemptResult, BodySource, Outcome, RequestBody};
 use super::head::{self, ForwardedHead};
 use super::hedge::{self, HedgeTimes};
+use super::relayed::SendResult;
 use super::response::{BackendResponse, LocalResponse, Response, ResponseBody};
 use super::routing::KeyOwner;
 use super::selection::{self, SelectionContext};
@@ -66,7 +68,7 @@
 
 /// Share of the time that an evacuation may take for which owners of keys still get requests, so that
 /// their keys can move first.
-const OWNER_EVACUATION_RATIO: f64 = 0.5;
+pub(super) const OWNER_EVACUATION_RATIO: f64 = 0.5;
 
 /// Lower bound of an entry VM's share of a connection limit, so that it can work at all.
 const MIN_CONNECTIONS: u32 = 2;
@@ -74,13 +76,17 @@
 /// Request matched to a route.
 #[derive(Debug)]
 pub struct RoutedRequest {
-    gateway: Rc<Gateway>,
-    route: Arc<Route>,
-    service: ids::ServiceName,
-    key: Option<Key>,
-    head: ForwardedHead,
-    arrived_at: Instant,
-    deadline: Instant,
+    pub(super) gateway: Rc<Gateway>,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ids::ServiceName,
+    pub(super) key: Option<Key>,
+    pub(super) head: ForwardedHead,
+    pub(super) arrived_at: Instant,
+    pub(super) deadline: Instant,
+    /// Whether another entry VM has sent the request to this one as the relay VM.
+    pub(super) is_from_peer: bool,
+    /// Whether a relay VM failed while it had the request, so that a retry goes directly.
+    pub(super) relay_failed: Cell<bool>,
 }
 
 impl RoutedRequest {
@@ -131,6 +137,8 @@
             head: ForwardedHead::new(parts, &gateway.header_names),
             arrived_at,
             deadline: arrived_at + timeout.min(route.timeout),
+            is_from_peer: false,
+            relay_failed: Cell::new(false),
         })
     }
 
@@ -152,16 +160,38 @@
             if attempts.sent > 0 && !self.try_retry(&attempts) {
                 return self.give_up(attempts);
             }
-            let sent = SentAttempt::new(backend);
-            if let Some(response) = self.send(&sent, &body, &mut attempts).await {
+            let response = match self.key {
+                Some(_) => self.send_to_owner(backend, &body, &mut attempts).await,
+                None => {
+                    let sent = SentAttempt::new(backend);
+                    self.send_hedged(&sent, &body, &mut attempts).await
+                }
+            };
+            if let Some(response) = response {
                 return response;
             }
         }
     }
 
+    /// Sends one attempt to the owner of the key; returns the response if no further attempt follows.
+    async fn send_to_owner(
+        &self,
+        backend: Rc<Backend>,
+        body: &Bytes,
+        attempts: &mut Attempts,
+    ) -> Option<Response> {
+        match self.send(backend, body).await {
+            Ok(SendResult { result, sent }) => self.handle_outcome(&sent, result, attempts),
+            Err(after) => {
+                attempts.unavailable = Some(Unavailable::Overloaded(after));
+                Some(self.give_up(std::mem::take(attempts)))
+            }
+        }
+    }
+
     /// Sends one attempt, and a second one beside it if it is overdue; returns the response if no
     /// further attempt follows.
-    async fn send(
+    async fn send_hedged(
         &self,
         first: &SentAttempt,
         body: &Bytes,
@@ -282,7 +312,7 @@
         response.unwrap_or_else(|| self.give_up(attempts))
     }
 
-    fn attempt(&self) -> Attempt<'_> {
+    pub(super) fn attempt(&self) -> Attempt<'_> {
         let max_connections = self
             .selection_context(&self.gateway.routing.borrow())
             .max_connections;
@@ -295,6 +325,8 @@
                 Idempotency::AtMostOnce => MAX_IDLE_AT_MOST_ONCE,
                 Idempotency::Idempotent => MAX_IDLE_IDEMPOTENT,
             },
+            relay: None,
+            rejection: None,
         }
     }
 
@@ -307,7 +339,7 @@
     }
 
     /// Records the outcome of an attempt; returns the response if it was the last one.
-    fn handle_outcome(
+    pub(super) fn handle_outcome(
         &self,
         sent: &SentAttempt,
         result: AttemptResult,
@@ -317,6 +349,7 @@
         let AttemptResult {
             outcome,
             connection,
+            relayed,
         } = result;
         let at_most_once = self.route.idempotency == Idempotency::AtMostOnce;
         if !matches!(outcome, Outcome::NotSent(_)) {
@@ -326,7 +359,7 @@
         match outcome {
             Outcome::Responded(response) => {
                 let failed = response.status.is_server_error();
-                let latency = self.relative_latency(sent, failed);
+                let latency = self.relative_latency(sent, failed || relayed);
                 let reported = head::reported_load(&response.headers, &self.gateway.header_names);
                 backend.record_response(latency, reported, failed);
                 if let Some(key) = self.key {
@@ -391,6 +424,10 @@
                 attempts.timed_out = true;
             }
         }
+        if self.is_from_peer {
+            // The sender decides whether another attempt follows.
+            return None;
+        }
         attempts.tried.push(Rc::clone(backend));
         let is_final =
             clock::now() >= self.deadline || attempts.connect_failures >= MAX_CONNECT_FAILURES;
@@ -557,6 +594,8 @@
                     {
                         return Err(Unavailable::Overloaded(b.overloaded_for(now)));
                     }
+                    // The relay VM knows whether the owner has capacity.
+                    KeyOwner::Backend(b) if self.is_to_relay(&routing, &b) => return Ok(b),
                     KeyOwner::Backend(b)
                         if !warmup::may_send(&b, now)
                             && now + warmup::wait_to_send(&b, now) > until =>
@@ -587,7 +626,10 @@
         }
     }
 
-    fn selection_context(&self, routing: &super::routing::RoutingState) -> SelectionContext<'_> {
+    pub(super) fn selection_context(
+        &self,
+        routing: &super::routing::RoutingState,
+    ) -> SelectionContext<'_> {
         let limit = routing
             .service(&self.service)
             .map_or(1, |s| s.max_connections);
@@ -651,15 +693,15 @@
 
 /// An attempt that was sent.
 #[derive(Debug)]
-struct SentAttempt {
-    backend: Rc<Backend>,
+pub(super) struct SentAttempt {
+    pub(super) backend: Rc<Backend>,
     sent_at: Instant,
     /// Requests in flight at the server before this one.
     load: f64,
 }
 
 impl SentAttempt {
-    fn new(backend: Rc<Backend>) -> Self {
+    pub(super) fn new(backend: Rc<Backend>) -> Self {
         let sent_at = clock::now();
         Self {
             load: backend.load(sent_at),
@@ -670,7 +712,7 @@
 }
 
 /// Returns the host of a request without its port.
-fn host(parts: &request::Parts) -> Option<&str> {
+pub(super) fn host(parts: &request::Parts) -> Option<&str> {
     let header = parts
         .headers
         .get(header::HOST)
