--- a/src/log/placement.rs
+++ b/src/log/placement.rs
@@ -21,13 +21,26 @@
     pub(super) voter: bool,
     /// Whether this is the leader's own replica.
     pub(super) leads: bool,
-    /// Whether the replica answers and has all committed entries.
-    pub(super) ready: bool,
-    /// Whether the replica should lose its vote: it has not answered for a while, or its VM has a
-    /// newer replica.
-    pub(super) silent: bool,
-    /// Whether the replica has not answered for so long that it is taken for lost.
-    pub(super) lost: bool,
+    pub(super) contact: Contact,
+}
+
+/// What the leader knows of a replica's contact and progress, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Contact {
+    /// It answers and has all committed entries.
+    Ready,
+    /// It has not answered just now, or lacks entries.
+    Behind,
+    /// It should lose its vote: it has not answered for a while, or its VM has a newer replica.
+    Silent,
+    /// It has not answered for so long that it is taken for lost.
+    Lost,
+}
+
+impl Candidate {
+    fn is_live(&self) -> bool {
+        self.contact < Contact::Silent
+    }
 }
 
 /// A change of who votes.
@@ -43,7 +56,7 @@
 
 /// Number of voters to grow to: `wanted`, or the largest odd number of replicas that answer.
 pub(super) fn growth_target(candidates: &[Candidate], wanted: usize) -> usize {
-    let live = candidates.iter().filter(|c| !c.silent).count();
+    let live = candidates.iter().filter(|c| c.is_live()).count();
     wanted.max(1).min(largest_odd(live))
 }
 
@@ -53,7 +66,7 @@
     if voters > most_voters(candidates, wanted) {
         return surplus(candidates).map(|c| VoterChange::Demote(ReplicaId::clone(&c.id)));
     }
-    let has_silent = candidates.iter().any(|c| c.voter && c.silent);
+    let has_silent = candidates.iter().any(|c| c.voter && !c.is_live());
     let is_short = voters < growth_target(candidates, wanted);
     let promoted = if has_silent || is_short {
         standby(candidates)
@@ -63,7 +76,9 @@
     if let Some(promoted) = promoted {
         return Some(VoterChange::Promote(ReplicaId::clone(&promoted.id)));
     }
-    let lost = candidates.iter().find(|c| !c.voter && c.lost)?;
+    let lost = candidates
+        .iter()
+        .find(|c| !c.voter && c.contact == Contact::Lost)?;
     Some(VoterChange::Remove(ReplicaId::clone(&lost.id)))
 }
 
@@ -71,7 +86,8 @@
 /// VMs must not leave commits on fewer disks.
 fn most_voters(candidates: &[Candidate], wanted: usize) -> usize {
     let wanted = wanted.max(1);
-    let present = candidates.iter().filter(|c| !c.lost).count();
+    let present = candidates.iter().filter(|c| c.contact < Contact::Lost);
+    let present = present.count();
     wanted.min(largest_odd(present).max(MIN_VOTERS))
 }
 
@@ -86,7 +102,7 @@
 /// The voter to demote: a silent one, else one of the zone with the most voters.
 fn surplus(candidates: &[Candidate]) -> Option<&Candidate> {
     let voters = || candidates.iter().filter(|c| c.voter && !c.leads);
-    let silent = voters().filter(|c| c.silent).max_by_key(|c| c.lost);
+    let silent = voters().filter(|c| !c.is_live()).max_by_key(|c| c.contact);
     silent.or_else(|| voters().max_by_key(|c| live_voters(candidates, c)))
 }
 
@@ -95,7 +111,7 @@
 fn standby(candidates: &[Candidate]) -> Option<&Candidate> {
     let ready = candidates
         .iter()
-        .filter(|c| !c.voter && c.ready && !c.silent);
+        .filter(|c| !c.voter && c.contact == Contact::Ready);
     ready.min_by_key(|c| (c.zone.is_none(), live_voters(candidates, c)))
 }
 
@@ -108,6 +124,7 @@
 
 /// Voters that answer in the zone of a replica; 0 if its zone is unknown.
 fn live_voters(candidates: &[Candidate], of: &Candidate) -> usize {
-    let is_counted = |c: &&Candidate| c.voter && !c.silent && c.zone.is_some() && c.zone == of.zone;
+    let is_counted =
+        |c: &&Candidate| c.voter && c.is_live() && c.zone.is_some() && c.zone == of.zone;
     candidates.iter().filter(is_counted).count()
 }
--- a/src/log/tests/bytes.rs
+++ b/src/log/tests/bytes.rs
@@ -129,7 +129,7 @@
         let dir = TempDir::new().unwrap();
         let handle = open(dir.path(), &Last::default(), false);
         leads(&handle).await;
-        let mut accepted = 0;
+        let mut accepted = 0_u64;
         let error = loop {
             match handle.propose(command(accepted)).await {
                 Ok(_) => accepted += 1,
@@ -138,7 +138,7 @@
         };
         assert_eq!(error, ProposeError::Backlog);
         assert!(handle.leading_since().is_some(), "the log goes on");
-        assert!(accepted as usize * COMMAND_BYTES <= 5 * SNAPSHOT_BYTES);
+        assert!(accepted <= 5 * (SNAPSHOT_BYTES / COMMAND_BYTES) as u64);
         handle.stop();
     });
 }
--- a/src/log/tests/placement.rs
+++ b/src/log/tests/placement.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::log::placement::{Candidate, VoterChange, next_change};
+use crate::log::placement::{Candidate, Contact, VoterChange, next_change};
 
 /// Changes after which a choice must have ended.
 const MAX_CHANGES: usize = 200;
@@ -17,9 +17,7 @@
         zone: zone.map(|z| format!("z{z}").into()),
         voter,
         leads: number == 0,
-        ready: true,
-        silent: false,
-        lost: false,
+        contact: Contact::Ready,
     }
 }
 
@@ -40,7 +38,10 @@
     let mut set = |id: &Arc<str>, voter: bool| {
         let found = candidates.iter_mut().find(|c| c.id == *id).unwrap();
         assert_ne!(found.voter, voter, "no change");
-        assert!(!voter || found.ready, "a replica without the log votes");
+        assert!(
+            !voter || found.contact == Contact::Ready,
+            "a replica without the log votes"
+        );
         found.voter = voter;
     };
     match change {
@@ -81,9 +82,7 @@
 #[test]
 fn three_vms_and_a_tolerance_of_one_keep_three_voters_while_one_is_lost() {
     let mut candidates = cluster(&[0, 0, 1], 3);
-    candidates[1].silent = true;
-    candidates[1].ready = false;
-    candidates[1].lost = true;
+    candidates[1].contact = Contact::Lost;
     assert_eq!(next_change(&candidates, 3), None);
 }
 
@@ -93,7 +92,7 @@
     let replicas = zones.iter().enumerate();
     let mut candidates: Vec<_> = replicas.map(|(n, z)| candidate(n, *z, n < 3)).collect();
     assert_eq!(next_change(&candidates, 3), None);
-    candidates[1].silent = true;
+    candidates[1].contact = Contact::Silent;
     settle(&mut candidates, 3);
     assert_eq!(voters(&candidates), ["r0", "r2", "r3"]);
 }
@@ -102,12 +101,11 @@
 fn silent_voters_keep_their_vote_until_they_are_lost() {
     let mut candidates = cluster(&[0, 1, 2, 0, 1], 5);
     for number in [3, 4] {
-        candidates[number].silent = true;
-        candidates[number].ready = false;
+        candidates[number].contact = Contact::Silent;
     }
     assert_eq!(next_change(&candidates, 5), None);
     for number in [3, 4] {
-        candidates[number].lost = true;
+        candidates[number].contact = Contact::Lost;
     }
     settle(&mut candidates, 5);
     assert_eq!(voters(&candidates), ["r0", "r1", "r2"]);
@@ -117,17 +115,16 @@
 #[test]
 fn a_lost_vm_is_replaced_by_one_at_a_new_address_and_removed() {
     let mut candidates = cluster(&[0, 1, 2], 3);
-    candidates[1].silent = true;
-    candidates[1].ready = false;
+    candidates[1].contact = Contact::Silent;
     candidates.push(Candidate {
-        ready: false,
+        contact: Contact::Behind,
         ..candidate(3, Some(1), false)
     });
     assert_eq!(next_change(&candidates, 3), None, "it lacks the log");
-    candidates[3].ready = true;
+    candidates[3].contact = Contact::Ready;
     settle(&mut candidates, 3);
     assert_eq!(voters(&candidates), ["r0", "r2", "r3"]);
-    candidates[1].lost = true;
+    candidates[1].contact = Contact::Lost;
     settle(&mut candidates, 3);
     assert_eq!(candidates.len(), 3);
 }
@@ -144,15 +141,18 @@
         let mut candidates = cluster(&zones, 1);
         for other in candidates.iter_mut().skip(1) {
             other.voter = random.bool();
-            other.silent = random.usize(0..5) == 0;
-            other.ready = !other.silent && random.usize(0..5) > 0;
-            other.lost = other.silent && random.bool();
+            other.contact = match random.usize(0..10) {
+                0..6 => Contact::Ready,
+                6 | 7 => Contact::Behind,
+                8 => Contact::Silent,
+                _ => Contact::Lost,
+            };
         }
         let wanted = random.usize(0..4) * 2 + 1;
         settle(&mut candidates, wanted);
         // Everyone answers again and catches up.
         for candidate in &mut candidates {
-            (candidate.silent, candidate.lost, candidate.ready) = (false, false, true);
+            candidate.contact = Contact::Ready;
         }
         settle(&mut candidates, wanted);
         let chosen = voters(&candidates).len();
@@ -166,7 +166,7 @@
             *free.entry(candidate.zone.clone()).or_insert(0) += 1;
         }
         let fits = |most: usize| free.values().map(|n| most.min(*n)).sum::<usize>() >= chosen;
-        let least = (1..).find(|most| fits(*most)).unwrap();
+        let least = (1..=chosen).find(|most| fits(*most)).unwrap();
         assert_eq!(fullest(&candidates), least, "seed {seed}: {candidates:?}");
     }
 }
--- a/src/log/voters.rs
+++ b/src/log/voters.rs
@@ -14,7 +14,7 @@
 use super::membership::{self, Edit};
 use super::model::{Membership, Replica, ReplicaId};
 use super::node::Node;
-use super::placement::{self, Candidate, VoterChange};
+use super::placement::{self, Candidate, Contact, VoterChange};
 use super::state::State;
 use crate::clock;
 use crate::ids;
@@ -90,15 +90,19 @@
     let replicas = replicas.unwrap_or_default();
     let candidate = |r: &Replica| {
         let leads = r.id == state.id;
-        let is_silent = |limit| !leads && is_silent(state, &r.id, limit);
+        let contact = match () {
+            () if leads || is_ready(state, &r.id) => Contact::Ready,
+            () if is_silent(state, &r.id, REMOVE_AFTER) => Contact::Lost,
+            () if is_silent(state, &r.id, REPLACE_AFTER) => Contact::Silent,
+            () if is_superseded(state, replicas, r) => Contact::Silent,
+            () => Contact::Behind,
+        };
         Candidate {
             id: Arc::clone(&r.id),
             zone: r.zone.clone(),
             voter: r.voter,
             leads,
-            ready: leads || is_ready(state, &r.id),
-            silent: is_silent(REPLACE_AFTER) || (!leads && is_superseded(state, replicas, r)),
-            lost: is_silent(REMOVE_AFTER),
+            contact,
         }
     };
     replicas.iter().map(candidate).collect()
