Fleet: heartbeats of other writers displace no running owner

Cause: the service of a heartbeat was never compared with the routing table, a later start time replaced the registered incarnation at once, and the absence of an incarnation counted as proof that it had ended. A sequence number that was too high shut out its server. Change: registration::decide, a pure function. Change::Readmit takes back a server that was displaced or removed. A lease counts until its end whatever the log says of its owner.

--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -16,6 +16,7 @@
 use super::model::{Incarnation, Server, ServerState};
 use super::plan;
 use super::reassign;
+use super::registration::{self, Registration};
 use super::store::{Change, Store};
 use crate::clock;
 use crate::control::command::{Applied, Command};
@@ -119,6 +120,9 @@
     pub(super) latencies: RefCell<HashMap<ids::ServerName, f64>>,
     /// Backend servers whose state is being set to draining, as they said that they leave.
     marking: RefCell<HashSet<Incarnation>>,
+    /// Incarnations that another one displaces by a change that is being committed; they get no
+    /// leases.
+    displacing: RefCell<HashSet<Incarnation>>,
     /// Evacuations of zones that are under way.
     pub(super) evacuations: RefCell<evacuation::Progress>,
 }
@@ -145,6 +149,7 @@
             first_heartbeat: RefCell::default(),
             latencies: RefCell::default(),
             marking: RefCell::default(),
+            displacing: RefCell::default(),
             evacuations: RefCell::default(),
             pass_needed: Notify::default(),
             pass_requested: Cell::default(),
@@ -241,15 +246,18 @@
         let received = clock::now();
         let leading_since = self.log.leading_since().ok_or(RequestError::NotLeader)?;
         self.first_heartbeat.borrow_mut().get_or_insert(received);
-        let applied_index = self.log.applied_index();
         let incarnation = heartbeat.incarnation().clone();
+        if !self.register(leading_since, &heartbeat, received).await? {
+            return Ok(Renewal::default());
+        }
+        let applied_index = self.log.applied_index();
         if !self
             .leases(leading_since)
             .record_heartbeat(&heartbeat, applied_index, received)
         {
             return Ok(Renewal::default());
         }
-        self.announce(&heartbeat).await?;
+        self.record_draining(&heartbeat).await?;
         let service = &heartbeat.server.service;
         if !self.state.table.borrow().is_sharded(service) {
             return Ok(Renewal::default());
@@ -283,6 +291,9 @@
         if self.log.leading_since() != Some(leading_since) {
             return Err(RequestError::NotLeader);
         }
+        if !self.is_present(&incarnation) {
+            return Ok(Renewal::default());
+        }
         let duration = self.lease_duration(service);
         self.leases(leading_since)
             .record_grant(&incarnation, duration, received);
@@ -430,32 +441,61 @@
         self.journal.record(event.detail(reason));
     }
 
-    /// Registers the sender of a heartbeat, or records its new state.
-    async fn announce(&self, heartbeat: &Heartbeat) -> Result<(), RequestError> {
-        let known = {
-            let store = self.state.fleet.borrow();
-            let known = store.servers.get(&heartbeat.incarnation().server);
-            known.map(|v| Arc::clone(&v.value))
+    /// Registers the sender of a heartbeat unless it is known; whether the heartbeat counts.
+    async fn register(
+        &self,
+        leading_since: Instant,
+        heartbeat: &Heartbeat,
+        now: Instant,
+    ) -> Result<bool, RequestError> {
+        let incarnation = heartbeat.incarnation();
+        let service = &heartbeat.server.service;
+        let has_service = self.state.table.borrow().service(service).is_some();
+        let decision = {
+            let leases = self.leases(leading_since);
+            self.with_fleet(|s| registration::decide(heartbeat, has_service, s, &leases, now))
         };
-        let same_incarnation = known.filter(|k| k.incarnation == *heartbeat.incarnation());
-        let Some(registered) = same_incarnation else {
-            let event = Event::new("fleet.announced")
-                .server(&heartbeat.incarnation().server)
-                .service(&heartbeat.server.service);
-            self.journal.record(event);
-            return self
-                .propose_fleet(Change::Announce(heartbeat.server.clone()))
-                .await;
+        let (displaced, change) = match decision {
+            Registration::Known => return Ok(self.is_present(incarnation)),
+            Registration::Ignored => {
+                ::log::info!(
+                    "event=fleet.heartbeat_ignored server={:?} born={} service={service:?}",
+                    incarnation.server,
+                    incarnation.start_ms,
+                );
+                return Ok(false);
+            }
+            Registration::Conflict => {
+                return Err(RequestError::Malformed("another service or address".into()));
+            }
+            Registration::New { displaced, change } => (displaced, change),
         };
-        if registered.service != heartbeat.server.service
-            || registered.address != heartbeat.server.address
-        {
-            return Err(RequestError::Malformed("another service or address".into()));
-        }
-        match (registered.state, heartbeat.server.state) {
-            (ServerState::Ready, ServerState::Draining) => {
-                self.set_state(&registered.incarnation, ServerState::Draining)
-                    .await
+        let event = Event::new("fleet.announced")
+            .server(&incarnation.server)
+            .service(service);
+        self.journal.record(event);
+        let displacing = |i: &Incarnation| displaced.contains(i);
+        self.displacing
+            .borrow_mut()
+            .extend(displaced.iter().cloned());
+        let registered = self.propose_fleet(*change).await;
+        self.displacing.borrow_mut().retain(|i| !displacing(i));
+        registered.map(|()| self.is_present(incarnation))
+    }
+
+    /// Whether an incarnation is registered and no other one is about to displace it.
+    pub(super) fn is_present(&self, incarnation: &Incarnation) -> bool {
+        self.with_fleet(|store| store.incarnation(incarnation).is_some())
+            && !self.displacing.borrow().contains(incarnation)
+    }
+
+    /// Records that the sender of a heartbeat drains, unless that is known.
+    async fn record_draining(&self, heartbeat: &Heartbeat) -> Result<(), RequestError> {
+        let incarnation = heartbeat.incarnation();
+        let registered = self.with_fleet(|store| store.incarnation(incarnation).map(|s| s.state));
+        match (registered, heartbeat.server.state) {
+            (Some(ServerState::Ready), ServerState::Draining) => {
+                self.set_state(incarnation, ServerState::Draining).await
             }
             _ => Ok(()),
         }
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -201,8 +201,8 @@
         };
         self.with_fleet(|store| {
             let ranges = store.ranges(&server.service);
-            let current = store.incarnation(&server.incarnation).is_some();
-            current && ranges.is_some_and(|r| r.overlapping(run.from, run.to).all(is_owned))
+            self.is_present(&server.incarnation)
+                && ranges.is_some_and(|r| r.overlapping(run.from, run.to).all(is_owned))
         })
     }
 
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -34,6 +34,10 @@
 /// Longest time between two heartbeats of a running server: the interval and some delay.
 const MAX_HEARTBEAT_GAP: Duration = Duration::from_millis(1200);
 
+/// Time after which heartbeats that have come in order are no delayed copies: the longest lease that
+/// a backend server takes.
+const TRUST_DELAY: Duration = Duration::from_secs(10);
+
 /// Released ranges kept per service; older ones have long been assigned again.
 const MAX_RELEASED_RANGES: usize = 512;
 
@@ -42,6 +46,10 @@
 struct LastHeartbeat {
     incarnation: Incarnation,
     sequence: u64,
+    /// Sequence number above which a heartbeat proves a release.
+    trusted_above: u64,
+    /// Since when heartbeats with lower numbers have come in order.
+    untrusted_since: Option<Instant>,
     received: Instant,
     /// Log index that was applied on this VM when the heartbeat was received.
     applied_index: ids::LogIndex,
@@ -60,6 +68,8 @@
     /// Log index that was applied then; ranges with a higher fence were assigned by this leader.
     first_index: ids::LogIndex,
     heartbeats: HashMap<ids::ServerName, LastHeartbeat>,
+    /// Ends of leases of incarnations that another one of their name has displaced.
+    displaced: Vec<(Incarnation, Instant)>,
     released: BTreeMap<ids::ServiceName, Vec<ReleasedRange>>,
     calls: CallLeases,
 }
@@ -78,6 +88,7 @@
             leading_since,
             first_index,
             heartbeats: HashMap::new(),
+            displaced: Vec::new(),
             released: BTreeMap::new(),
             calls: CallLeases::default(),
         }
@@ -103,8 +114,12 @@
         self.first_index
     }
 
-    /// Records a heartbeat; `false` if a newer one of this or a later incarnation is known.
+    /// Records a heartbeat of a registered incarnation; `false` if a newer one was received a moment
+    /// ago.
     ///
+    /// After [`MAX_HEARTBEAT_GAP`] an older one counts again, as the sequence number of the newer one
+    /// may be another writer's. It may also be a delayed copy, so it doesn't prove a release until
+    /// heartbeats have followed it in order for [`TRUST_DELAY`].
     /// `applied_index` is the log index applied on this VM.
     pub fn record_heartbeat(
         &mut self,
@@ -113,23 +128,36 @@
         now: Instant,
     ) -> bool {
         let incarnation = heartbeat.incarnation();
-        let last = self.heartbeats.get(&incarnation.server);
+        let previous = self.heartbeats.get(&incarnation.server);
+        if let Some(other) = previous.filter(|l| l.incarnation != *incarnation) {
+            self.displaced.retain(|(_, expires)| now <= *expires);
+            let lease = other.expires.filter(|e| now <= *e);
+            self.displaced
+                .extend(lease.map(|e| (other.incarnation.clone(), e)));
+        }
+        let last = previous.filter(|l| l.incarnation == *incarnation);
         let outdated = last.is_some_and(|l| {
-            (l.incarnation.start_ms, l.sequence) >= (incarnation.start_ms, heartbeat.sequence)
+            heartbeat.sequence <= l.sequence && now < l.received + MAX_HEARTBEAT_GAP
         });
         if outdated {
             return false;
         }
-        let expires = last
-            .filter(|l| l.incarnation == *incarnation)
-            .and_then(|l| l.expires);
+        let in_order = last.filter(|l| heartbeat.sequence > l.sequence);
+        let untrusted_since = in_order.and_then(|l| l.untrusted_since).unwrap_or(now);
+        let is_trusted = last.is_none_or(|l| heartbeat.sequence > l.trusted_above)
+            || now >= untrusted_since + TRUST_DELAY;
         let latest = LastHeartbeat {
             incarnation: incarnation.clone(),
             sequence: heartbeat.sequence,
+            trusted_above: match last {
+                Some(last) if !is_trusted => last.trusted_above,
+                _ => heartbeat.sequence,
+            },
+            untrusted_since: Some(untrusted_since).filter(|_| !is_trusted),
             received: now,
             applied_index,
-            held: heartbeat.held.clone(),
-            expires,
+            held: heartbeat.held.clone().filter(|_| is_trusted),
+            expires: last.and_then(|l| l.expires),
         };
         self.heartbeats
             .insert(Arc::clone(&incarnation.server), latest);
@@ -190,7 +218,7 @@
     /// Whether all leases of an incarnation have expired, or the incarnation has ended.
     pub fn has_expired(&self, incarnation: &Incarnation, store: &Store, now: Instant) -> bool {
         if store.incarnation(incarnation).is_none() {
-            return true;
+            return !self.is_leased(incarnation, now);
         }
         let last = self.newest(incarnation);
         now > last
@@ -204,6 +232,14 @@
         self.leading_since + self.predecessor_lease.mul_f64(CLOCK_DRIFT_FACTOR)
     }
 
+    /// Whether this leader granted a lease in a heartbeat that has not expired.
+    fn is_leased(&self, incarnation: &Incarnation, now: Instant) -> bool {
+        let last = self.newest(incarnation).and_then(|l| l.expires);
+        let mut displaced = self.displaced.iter();
+        last.is_some_and(|e| now <= e)
+            || displaced.any(|(i, expires)| i == incarnation && now <= *expires)
+    }
+
     fn newest(&self, incarnation: &Incarnation) -> Option<&LastHeartbeat> {
         let last = self.heartbeats.get(&incarnation.server);
         last.filter(|l| l.incarnation == *incarnation)
@@ -232,7 +268,7 @@
             return false;
         };
         if store.incarnation(owner).is_none() {
-            return true;
+            return !self.is_leased(owner, now);
         }
         let last = self.newest(owner);
         let no_lease = match last.and_then(|l| l.expires) {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -32,6 +32,7 @@
 pub mod plan;
 pub mod ranges;
 pub mod reassign;
+pub mod registration;
 pub mod store;
 #[cfg(test)]
 mod tests;
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -23,6 +23,9 @@
     Vm(Vm),
     /// Registers a backend server, or changes its description.
     Announce(Server),
+    /// Registers a backend server although a later incarnation of its name or a later server at its
+    /// address was registered, or it counted as gone itself.
+    Readmit(Server),
     /// Sets the state of a backend server.
     #[serde(rename = "stand")]
     SetState {
@@ -142,6 +145,7 @@
                 self.vms.insert(name, versioned);
             }
             Change::Announce(server) => self.announce(index, server),
+            Change::Readmit(server) => self.readmit(index, server),
             Change::SetState { incarnation, state } => self.set_state(index, &incarnation, state),
             Change::Reassign { service, ranges } => {
                 let moves = ranges.into_iter().flat_map(|(next, ranges)| {
@@ -201,15 +205,19 @@
         for incarnation in replaced {
             self.set_state(index, &incarnation, ServerState::Gone);
         }
+        self.insert(index, Arc::new(server));
+    }
+
+    pub(super) fn insert(&mut self, index: ids::LogIndex, server: Arc<Server>) {
         let versioned = Versioned {
             changed: index,
-            value: Arc::new(server),
+            value: server,
         };
         self.servers
             .insert(Arc::clone(&versioned.value.incarnation.server), versioned);
     }
 
-    fn others_at<'a>(
+    pub(super) fn others_at<'a>(
         &'a self,
         address: SocketAddr,
         incarnation: &'a Incarnation,
@@ -222,7 +230,12 @@
         })
     }
 
-    fn set_state(&mut self, index: ids::LogIndex, incarnation: &Incarnation, state: ServerState) {
+    pub(super) fn set_state(
+        &mut self,
+        index: ids::LogIndex,
+        incarnation: &Incarnation,
+        state: ServerState,
+    ) {
         let current = self.servers.get_mut(&incarnation.server);
         let Some(versioned) = current.filter(|v| v.value.incarnation == *incarnation) else {
             return;
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -4,6 +4,7 @@
 mod leases;
 mod plan;
 mod ranges;
+mod registration;
 mod store;
 mod updates;
 
