Planner: bounded moves for balance, and busy keys at slow servers

Rebalancing moves at most 8,192 keys a second in a service, or those of one mean server. Keys behind a busy one that is first in its range could not leave, as only prefixes of a range were moved; a busy range that is all that a slow server has could not move to a faster one. Learned speeds count as off by a seventh when the planner decides whether load is uneven by chance.

--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -379,10 +379,7 @@
 
     /// Whether the load of a service is to be evened out now; true once in each interval.
     fn is_rebalance_due(&self, service: &ids::ServiceName) -> bool {
-        let interval = match self.delivery(service) {
-            Delivery::Heartbeat => REBALANCE_INTERVAL,
-            Delivery::Call => CALL_REBALANCE_INTERVAL,
-        };
+        let interval = self.rebalance_interval(service);
         let now = clock::now();
         let mut rebalanced = self.rebalanced.borrow_mut();
         let last = rebalanced.entry(Arc::clone(service)).or_insert(now);
@@ -393,6 +390,14 @@
         is_due
     }
 
+    /// Least time between two rebalancings of a service.
+    pub(super) fn rebalance_interval(&self, service: &str) -> Duration {
+        match self.delivery(service) {
+            Delivery::Heartbeat => REBALANCE_INTERVAL,
+            Delivery::Call => CALL_REBALANCE_INTERVAL,
+        }
+    }
+
     /// Makes older requests of a service count less; the fewer there are, the longer they count.
     fn decay_load(&self, service: &ids::ServiceName) {
         let servers = self.with_fleet(|store| store.servers_of(service).count().max(1));
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -1,6 +1,7 @@
 //! Planning of which key ranges move to which backend servers.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use super::load::LoadShares;
 use super::model::{Incarnation, Key, KeyRange};
@@ -88,12 +89,47 @@
     pending: bool,
 }
 
+/// Most keys that are moved each second just to even out the load; requests for a key that moves
+/// wait for up to about a second. The keys of one mean server may always move, so that a server
+/// that joins a small fleet gets its keys soon.
+pub const MAX_BALANCE_KEYS_PER_SEC: f64 = 8192.0;
+
+/// Relative standard deviation of a learned speed, of which about fifteen samples count.
+const LATENCY_NOISE: f64 = 1.0 / 7.0;
+
+/// Least factor by which the greater load of two servers drops if a busy key moves between them.
+const MIN_BUSY_KEY_GAIN: f64 = 1.4;
+
+/// Most keys that a rebalancing may move if the last one was `interval` ago.
+pub fn balance_keys(candidates: usize, interval: Duration) -> u32 {
+    let mean_keys = f64::from(u32::from(Key::MAX) + 1) / to_f64(candidates.max(1));
+    let keys = MAX_BALANCE_KEYS_PER_SEC.max(mean_keys) * interval.as_secs_f64();
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "between 0 and the number of keys"
+    )]
+    let keys = keys.clamp(1.0, f64::from(Key::MAX)) as u32;
+    keys
+}
+
 /// Plans the moves of one service; `rebalance` also moves keys just to even out the load.
 pub fn plan(
     ranges: &RangeMap,
     candidates: &[Candidate],
     shares: &LoadShares,
     rebalance: bool,
+) -> Vec<Move> {
+    let balance_keys = rebalance.then_some(u32::MAX);
+    plan_bounded(ranges, candidates, shares, balance_keys)
+}
+
+/// Plans the moves of one service; moves at most `balance_keys` keys just to even out the load.
+pub fn plan_bounded(
+    ranges: &RangeMap,
+    candidates: &[Candidate],
+    shares: &LoadShares,
+    balance_keys: Option<u32>,
 ) -> Vec<Move> {
     if !candidates.iter().any(|c| c.accepts_keys) {
         return Vec::new();
@@ -104,13 +140,14 @@
         ranges: ranges.iter().map(|r| planned_range(r, &indexes)).collect(),
         candidates,
         shares,
+        balance_keys: balance_keys.unwrap_or(0),
     };
     if plan.ranges.iter().all(|r| r.target.is_none()) {
         plan.assign_all();
     } else {
         plan.assign_unowned();
     }
-    if rebalance {
+    if balance_keys.is_some() {
         plan.rebalance();
     }
     plan.moves()
@@ -135,6 +172,8 @@
     ranges: Vec<PlannedRange>,
     candidates: &'a [Candidate],
     shares: &'a LoadShares,
+    /// Keys that may still be moved just to even out the load.
+    balance_keys: u32,
 }
 
 impl Plan<'_> {
@@ -210,7 +249,7 @@
     fn tolerated_ratios(&self) -> (f64, f64) {
         let servers = self.candidates.len();
         let expected_extreme = (2.0 * to_f64(servers.max(2)).ln()).sqrt();
-        let deviation = expected_extreme * self.shares.noise(servers);
+        let deviation = expected_extreme * self.shares.noise(servers).hypot(LATENCY_NOISE);
         (
             (1.0 - deviation).clamp(IDLE_RATIO, UNDERLOAD_RATIO),
             (1.0 + deviation).max(OVERLOAD_RATIO),
@@ -235,7 +274,11 @@
             if !unbalanced || headroom <= 0.0 {
                 return;
             }
-            let Some(moved) = self.move_load(donor, recipient, excess.min(headroom)) else {
+            let moved = self
+                .move_load(donor, recipient, excess.min(headroom))
+                .map(|moved| (recipient, moved))
+                .or_else(|| self.move_busy_key(donor, &loads));
+            let Some((recipient, moved)) = moved else {
                 // This candidate has nothing to move; the next one may.
                 if let Some(load) = loads.get_mut(donor) {
                     *load = mean;
@@ -274,6 +317,7 @@
         };
         if range_count(recipient) >= MAX_RANGES_PER_SERVER
             || range_count(donor) >= MAX_RANGES_PER_SERVER
+            || self.balance_keys == 0
         {
             return None;
         }
@@ -284,31 +328,83 @@
         let movable = || self.ranges.iter().filter(is_movable);
         let fitting = movable().filter(|r| load(r) <= share).max_by(by_load);
         let largest = movable().max_by(by_load)?;
-        let end = shares.prefix_end(largest.from, largest.to, share);
-        // If a busy key is near the start of the largest range, its prefix carries little load.
-        let parts = [fitting.map(|r| (r, r.to)), end.map(|last| (largest, last))];
-        let part_load = |part: &(&PlannedRange, Key)| shares.range_share(part.0.from, part.1);
+        let part_from = |first: Key| {
+            let end = shares.prefix_end(first, largest.to, share);
+            end.map(|last| (largest, first, last))
+        };
+        // If a busy key is near the start of the largest range, its prefix carries little load; if it
+        // is the first one, it stays, and the keys behind it may move.
+        let prefix = part_from(largest.from);
+        let behind = largest.from.checked_add(1).filter(|f| *f <= largest.to);
+        let parts = [
+            fitting.map(|r| (r, r.from, r.to)),
+            prefix,
+            behind.filter(|_| prefix.is_none()).and_then(part_from),
+        ];
+        let part_load = |part: &(&PlannedRange, Key, Key)| shares.range_share(part.1, part.2);
         let parts = parts.into_iter().flatten();
-        let (range, last) = parts.max_by(|a, b| part_load(a).total_cmp(&part_load(b)))?;
+        let (range, first, last) = parts.max_by(|a, b| part_load(a).total_cmp(&part_load(b)))?;
+        let most = Key::try_from(self.balance_keys.saturating_sub(1)).unwrap_or(Key::MAX);
+        let last = last.min(first.saturating_add(most));
         let range = range.clone();
+        self.move_part(&range, first, last, recipient)
+    }
+
+    /// Moves the busiest range of a candidate that has nothing else to move to one that has more
+    /// capacity for it, as a faster or less loaded one; returns the new owner and the share of the
+    /// load.
+    ///
+    /// Answers the load pattern of a key with a large part of a service's requests at a slow server.
+    fn move_busy_key(&mut self, donor: usize, loads: &[f64]) -> Option<(usize, f64)> {
+        let shares = self.shares;
+        let load = |r: &PlannedRange| shares.range_share(r.from, r.to);
+        let movable = self
+            .ranges
+            .iter()
+            .filter(|r| r.target == Some(donor) && !r.pending && !r.moved);
+        let range = movable.max_by(|a, b| load(a).total_cmp(&load(b)))?.clone();
+        let share = load(&range);
+        let candidates = self.candidates.iter().zip(loads).enumerate();
+        let accepting = candidates.filter(|(i, (c, _))| c.accepts_keys && *i != donor);
+        let loads_with = accepting.map(|(i, (c, load))| (i, load + share / c.weight));
+        let (recipient, with) = loads_with.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        let limit = loads.get(donor)? / MIN_BUSY_KEY_GAIN;
+        let keys = u32::from(range.to.saturating_sub(range.from)) + 1;
+        if with > limit || keys > self.balance_keys {
+            return None;
+        }
+        let moved = self.move_part(&range, range.from, range.to, recipient)?;
+        Some((recipient, moved))
+    }
+
+    /// Moves the keys `first..=last` of a range; returns their share of the load.
+    fn move_part(
+        &mut self,
+        range: &PlannedRange,
+        first: Key,
+        last: Key,
+        recipient: usize,
+    ) -> Option<f64> {
+        let at = self.ranges.iter().position(|r| r.from == range.from)?;
+        let part = |from, to| PlannedRange {
+            from,
+            to,
+            ..range.clone()
+        };
         let moving = PlannedRange {
-            to: last,
             target: Some(recipient),
             moved: true,
-            ..range
+            ..part(first, last)
         };
-        let moved = load(&moving);
-        let at = self.ranges.iter().position(|r| r.from == range.from)?;
+        let before = first.checked_sub(1).filter(|end| *end >= range.from);
         let rest = last.checked_add(1).filter(|rest| *rest <= range.to);
-        match (rest, self.ranges.get_mut(at)) {
-            (_, None) => return None,
-            (None, Some(range)) => *range = moving,
-            (Some(rest), Some(range)) => {
-                range.from = rest;
-                self.ranges.insert(at, moving);
-            }
-        }
-        Some(moved)
+        let before = before.map(|end| part(range.from, end));
+        let rest = rest.map(|from| part(from, range.to));
+        let parts = before.into_iter().chain([moving]).chain(rest);
+        self.ranges.splice(at..=at, parts);
+        let keys = u32::from(last.saturating_sub(first)) + 1;
+        self.balance_keys = self.balance_keys.saturating_sub(keys);
+        Some(self.shares.range_share(first, last))
     }
 
     /// Load of each candidate, divided by its weight.
--- a/src/fleet/reassign.rs
+++ b/src/fleet/reassign.rs
@@ -44,7 +44,9 @@
                 if spares_cold {
                     plan::spare_cold(&mut candidates, |i| is_cold(store, i));
                 }
-                plan::plan(ranges, &candidates, &shares, rebalance)
+                let interval = self.rebalance_interval(service);
+                let keys = plan::balance_keys(candidates.len(), interval);
+                plan::plan_bounded(ranges, &candidates, &shares, rebalance.then_some(keys))
             })
         };
         if moves.is_empty() {
--- a/src/fleet/tests/plan.rs
+++ b/src/fleet/tests/plan.rs
@@ -234,3 +234,103 @@
         );
     }
 }
+
+/// Replays the half seconds of a service whose servers differ in speed, of which each is three times
+/// slower for a fifth of the time in short periods. Returns the keys that move in each.
+fn replay_uneven(seed: u64, servers: usize, per_sec: u32, half_seconds: u64) -> Vec<u32> {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let names: Vec<String> = (0..servers).map(|i| format!("s{i}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut candidates = candidates(&names);
+    let usual: Vec<_> = names
+        .iter()
+        .map(|_| 1.0 / (0.5 + 1.1 * random.f64()))
+        .collect();
+    let mean = usual.iter().sum::<f64>() / f64::from(u32::try_from(servers).unwrap()) * 1.4;
+    let mut learned = vec![1.0; servers];
+    let (mut ranges, mut loads) = (RangeMap::default(), LoadCounts::default());
+    let first = plan::plan(&ranges, &candidates, &loads.shares("s"), false);
+    apply(&mut ranges, &first, 1);
+    let mut moved = Vec::new();
+    for round in 0..half_seconds {
+        let mut counts = std::collections::BTreeMap::new();
+        for _ in 0..per_sec / 2 {
+            let key: Key = random.u16(..);
+            *counts.entry(key).or_insert(0) += 1;
+            let range = ranges.overlapping(key, key).next().unwrap();
+            let owner = &range.owner.as_ref().unwrap().server;
+            let i = owner.trim_start_matches('s').parse::<usize>().unwrap();
+            let slow = if random.f64() < 0.2 { 3.0 } else { 1.0 };
+            let sample = usual[i] * slow / mean;
+            learned[i] = learned[i] * 0.935 + sample * 0.065;
+            candidates[i].weight = 6.0 / f64::clamp(learned[i], 0.4, 3.0);
+        }
+        let counts = counts.into_iter().collect();
+        let service = "s".into();
+        loads.add(&ServiceLoad { service, counts });
+        let keys = plan::balance_keys(servers, std::time::Duration::from_millis(500));
+        let shares = loads.shares("s");
+        let plan = plan::plan_bounded(&ranges, &candidates, &shares, Some(keys));
+        let count = |m: &Move| u32::from(m.to - m.from) + 1;
+        moved.push(plan.iter().map(count).sum::<u32>());
+        apply(&mut ranges, &plan, 10 + 2 * round);
+        let requests = loads.total("s") / f64::from(u32::try_from(servers).unwrap());
+        let stretch = (40.0 / requests.max(1.0)).clamp(1.0, 8.0);
+        loads.decay("s", 1.0 - 1.0 / (8.0 * stretch));
+    }
+    moved
+}
+
+/// Guards against keys that move for nothing, as each move holds up requests: the speeds of the
+/// servers are learned from few responses.
+#[test]
+fn few_keys_move_for_balance_on_a_calm_day_of_uneven_servers() {
+    for (servers, per_sec) in [(156, 575), (170, 728)] {
+        for seed in 0..2 {
+            let moved = replay_uneven(seed, servers, per_sec, 240);
+            let (settling, calm) = moved.split_at(120);
+            let limit = plan::balance_keys(servers, std::time::Duration::from_millis(500));
+            assert!(settling.iter().all(|m| *m <= limit), "{settling:?}");
+            let (before, after): (u32, u32) = (settling.iter().sum(), calm.iter().sum());
+            println!("{servers} servers: {before} keys in the first minute, {after} in the second");
+            assert!(after < 65536 / 10, "{after} keys in a minute");
+        }
+    }
+}
+
+/// Guards against a busy key that stays at a slow server while a fast one has room, and against keys
+/// that stay with it as it is the first of their range.
+#[test]
+fn a_busy_key_of_a_slow_server_goes_to_a_fast_one_and_the_keys_behind_it_leave() {
+    for (slow_weight, moves_on) in [(3.0, false), (1.5, true)] {
+        let mut candidates = candidates(&["slow", "b", "fast"]);
+        candidates[0].weight = slow_weight;
+        candidates[2].weight = 6.0;
+        let mut ranges = RangeMap::default();
+        let all = |name: &str, from, to| Move {
+            from,
+            to,
+            next: incarnation(name, 1),
+        };
+        let first = [
+            all("slow", 0, 21_999),
+            all("b", 22_000, 43_999),
+            all("fast", 44_000, Key::MAX),
+        ];
+        apply(&mut ranges, &first, 1);
+        let mut loads = LoadCounts::default();
+        let others = (1..650).map(|i| (i * 100, 1));
+        let counts = [(0, 900)].into_iter().chain(others).collect();
+        let service = "s".into();
+        loads.add(&ServiceLoad { service, counts });
+        for round in 0..8 {
+            let plan = plan::plan(&ranges, &candidates, &loads.shares("s"), true);
+            apply(&mut ranges, &plan, 10 + 2 * round);
+        }
+        let owner = ranges.iter().next().unwrap().owner.clone().unwrap();
+        let expected = if moves_on { "fast" } else { "slow" };
+        assert_eq!(&*owner.server, expected);
+        let share = key_share(&ranges, "slow");
+        assert!(moves_on || share < 0.05, "{share}");
+    }
+}
