Planner: servers of a zone just returned count as cold

An evacuated zone's servers may have turned cold, and say so with their next heartbeat only, up to 0.9 s after the end. The planner gave them keys at once. For two seconds they now get none while others have room.

--- a/src/fleet/evacuation.rs
+++ b/src/fleet/evacuation.rs
@@ -28,6 +28,10 @@
 /// heartbeats, so that all keys have moved after 2.2 s; owners get requests for 2.5 s.
 const GROUP_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time after the end of an evacuation in which each running server sends a heartbeat, which says
+/// whether it is cold.
+const RETURN_CAUTION: Duration = Duration::from_secs(2);
+
 /// Whether a zone is evacuated; as a call, that it is to be.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneEvacuation {
@@ -109,18 +113,29 @@
 #[derive(Debug, Default)]
 pub struct Progress {
     started: HashMap<ids::ZoneName, (ids::LogIndex, Instant)>,
+    /// Evacuations that ended, with the time at which this leader first saw the end.
+    ended: HashMap<ids::ZoneName, (ids::LogIndex, Instant)>,
 }
 
 impl Progress {
     /// Follows the evacuations of the log.
     pub fn update(&mut self, store: &Store, now: Instant) {
-        let active = store.evacuations.iter().filter(|(_, e)| e.value);
-        let active = active.map(|(zone, e)| {
-            let known = self.started.get(zone).filter(|s| s.0 == e.changed);
-            let started = known.copied().unwrap_or((e.changed, now));
-            (Arc::clone(zone), started)
-        });
-        self.started = active.collect();
+        let follow = |known: &HashMap<ids::ZoneName, (ids::LogIndex, Instant)>, active: bool| {
+            let zones = store.evacuations.iter().filter(|(_, e)| e.value == active);
+            let zones = zones.map(|(zone, e)| {
+                let known = known.get(zone).filter(|k| k.0 == e.changed);
+                (Arc::clone(zone), known.copied().unwrap_or((e.changed, now)))
+            });
+            zones.collect()
+        };
+        self.started = follow(&self.started, true);
+        self.ended = follow(&self.ended, false);
+    }
+
+    /// Whether a zone was returned so recently that its servers may be cold without having said so.
+    pub fn is_just_returned(&self, zone: &str, now: Instant) -> bool {
+        let ended = self.ended.get(zone);
+        ended.is_some_and(|(_, at)| now < *at + RETURN_CAUTION)
     }
 
     /// Number of groups of a zone that have to give up their keys; all of those of an evacuation
--- a/src/fleet/reassign.rs
+++ b/src/fleet/reassign.rs
@@ -46,7 +46,7 @@
                 let mut candidates =
                     candidates(store, &leases, &latencies, &evacuations, service, now);
                 if spares_cold {
-                    plan::spare_cold(&mut candidates, |i| is_cold(store, i));
+                    plan::spare_cold(&mut candidates, |i| is_cold(store, &evacuations, i, now));
                 }
                 let interval = self.rebalance_interval(service);
                 let keys = plan::balance_keys(candidates.len(), interval);
@@ -246,10 +246,10 @@
     ready.map(candidate).collect()
 }
 
-/// Whether the log has an incarnation as cold.
-fn is_cold(store: &Store, incarnation: &Incarnation) -> bool {
+/// Whether an incarnation is cold by the log, or may be as its zone was just returned.
+fn is_cold(store: &Store, evacuations: &Progress, incarnation: &Incarnation, now: Instant) -> bool {
     let server = store.incarnation(incarnation);
-    server.is_some_and(|s| !s.warmup.is_zero())
+    server.is_some_and(|s| !s.warmup.is_zero() || evacuations.is_just_returned(&s.zone, now))
 }
 
 /// Lease on all ranges that an incarnation owns and that stay with it.
--- a/src/fleet/tests/evacuation.rs
+++ b/src/fleet/tests/evacuation.rs
@@ -216,3 +216,21 @@
             .is_evacuated("a")
     );
 }
+
+/// Guards against keys for servers that turned cold during an evacuation and have not said so yet.
+#[test]
+fn servers_of_a_zone_count_as_cold_for_two_heartbeats_after_its_return() {
+    let mut store = store();
+    let now = Instant::now();
+    let mut progress = Progress::default();
+    evacuate(&mut store, 10, true);
+    progress.update(&store, now);
+    assert!(!progress.is_just_returned("a", now));
+    evacuate(&mut store, 11, false);
+    progress.update(&store, now);
+    let later = now + Duration::from_millis(1900);
+    progress.update(&store, later);
+    assert!(progress.is_just_returned("a", later));
+    assert!(!progress.is_just_returned("b", later));
+    assert!(!progress.is_just_returned("a", now + Duration::from_secs(2)));
+}
