Gateway: work is learned by rank and target; a pace for cold servers

Cause: with some hundred routes to a service, one route reaches one server every few minutes, so its work was never known, and routes beyond the first 256 had none. Change: kinds are rank and latency target.

--- a/src/gateway/relayed.rs
+++ b/src/gateway/relayed.rs
@@ -150,7 +150,6 @@
         };
         let deadline = self.deadline.checked_sub(margin);
         let request = SeatRequest {
-            kind: Arc::clone(&self.route.name),
             rank: self.route.rank,
             target: self.route.latency_target,
             arrived_at: self.arrived_at,
--- a/src/gateway/seat_queue.rs
+++ b/src/gateway/seat_queue.rs
@@ -64,6 +64,7 @@
             Rc::clone(queues.entry(incarnation).or_insert_with(new))
         };
         queue.seats.borrow_mut().set_limit(limit);
+        queue.seats.borrow_mut().set_pace(cold_pace(backend, now));
         queue.acquire(request).await
     }
 
@@ -113,7 +114,8 @@
         self.decide(now);
         loop {
             let now = clock::now();
-            let changes = [last_place_at, deadline].into_iter();
+            let next_start = self.seats.borrow().next_start();
+            let changes = [last_place_at, deadline, next_start].into_iter();
             let next_change = changes.filter(|at| *at > now).min();
             let pause =
                 next_change.map_or(RECHECK_INTERVAL, |at| at.saturating_duration_since(now));
@@ -205,3 +207,9 @@
     let limit = (slots - others).max(1.0) as u32;
     limit
 }
+
+/// Least time between two requests to a server that is cold, zero for others.
+// With part 3 of docs/plans/uneven-load.md: 1 / requests_per_sec while `Backend::is_cold`.
+fn cold_pace(_backend: &Backend, _now: Instant) -> Duration {
+    Duration::ZERO
+}
--- a/src/gateway/seats.rs
+++ b/src/gateway/seats.rs
@@ -5,9 +5,8 @@
 //! requests as the server has slots, so the order is decided here and not by the server's queue.
 //! Nothing here does I/O or reads the clock.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::ops::RangeBounds;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::table::model::Rank;
@@ -35,23 +34,25 @@
 const MAX_URGENT_SHARE: f64 = 0.8;
 
 /// Requests that wait for one server at most, whatever the expected work.
-pub const MAX_WAITING: usize = 128;
+pub const MAX_WAITING: u32 = 128;
 
 /// Kinds of request whose work is remembered for one server.
-const MAX_KINDS: usize = 256;
+const MAX_KINDS: usize = 64;
 
 /// Bounds of the time after which a refused caller should return.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Requests that take similar time: those of one rank and latency target. Many routes may lead to a
+/// service, and one of them seldom to one server.
+type Kind = (Rank, Duration);
+
 /// Identifies a request of one queue; a later request has a greater one.
 pub type SeatId = u64;
 
 /// Request that asks for a place.
 #[derive(Clone, Debug)]
 pub struct SeatRequest {
-    /// Requests of one kind take similar time; the name of the route.
-    pub kind: Arc<str>,
     /// Rank of the route.
     pub rank: Rank,
     /// Latency target of the route.
@@ -62,6 +63,12 @@
     pub deadline: Instant,
 }
 
+impl SeatRequest {
+    fn kind(&self) -> Kind {
+        (self.rank, self.target)
+    }
+}
+
 /// What becomes of a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -75,7 +82,7 @@
 #[derive(Debug)]
 struct Running {
     id: SeatId,
-    kind: Arc<str>,
+    kind: Kind,
     started_at: Instant,
 }
 
@@ -93,11 +100,14 @@
 #[derive(Debug)]
 pub struct Seats {
     limit: u32,
+    /// Least time between two starts.
+    pace: Duration,
+    next_start: Instant,
     next_id: SeatId,
     running: Vec<Running>,
     waiting: BTreeMap<(Rank, SeatId), SeatRequest>,
     /// Average work of each kind, in seconds.
-    work: HashMap<Arc<str>, f64>,
+    work: BTreeMap<Kind, f64>,
     ranks: BTreeMap<Rank, RankCounts>,
     faded_at: Instant,
 }
@@ -107,10 +117,12 @@
     pub fn new(limit: u32, now: Instant) -> Self {
         Self {
             limit: limit.max(1),
+            pace: Duration::ZERO,
+            next_start: now,
             next_id: 0,
             running: Vec::new(),
             waiting: BTreeMap::new(),
-            work: HashMap::new(),
+            work: BTreeMap::new(),
             ranks: BTreeMap::new(),
             faded_at: now,
         }
@@ -121,6 +133,16 @@
         self.limit = limit.max(1);
     }
 
+    /// Sets the least time between two starts, for a server that is cold; zero for no limit.
+    pub fn set_pace(&mut self, pace: Duration) {
+        self.pace = pace;
+    }
+
+    /// When the next request may start if places are free.
+    pub fn next_start(&self) -> Instant {
+        self.next_start
+    }
+
     /// Whether no request is in flight or waits.
     pub fn is_empty(&self) -> bool {
         self.running.is_empty() && self.waiting.is_empty()
@@ -141,7 +163,7 @@
         self.fade(now);
         let id = self.next_id;
         self.next_id = self.next_id.wrapping_add(1);
-        let work = self.work_secs(&request.kind);
+        let work = self.work_secs(request.kind());
         let counts = self.ranks.entry(request.rank).or_insert(RankCounts {
             arrivals: 0.0,
             starts: 0.0,
@@ -187,7 +209,7 @@
         let mut decisions = Vec::new();
         // A request that can't be served any more must not take a place.
         self.refuse_late(now, &mut decisions);
-        while self.running.len() < self.limit as usize {
+        while self.running.len() < self.limit as usize && now >= self.next_start {
             let Some(key) = self.next_to_start(now) else {
                 break;
             };
@@ -199,9 +221,10 @@
             }
             self.running.push(Running {
                 id: key.1,
-                kind: request.kind,
+                kind: request.kind(),
                 started_at: now,
             });
+            self.next_start = now + self.pace;
             decisions.push((key.1, Decision::Start));
         }
         decisions
@@ -249,7 +272,7 @@
     /// Late requests yield to those of their rank that can still be in time: in a queue that never
     /// drains, all responses would otherwise be late.
     fn is_late(&self, request: &SeatRequest, now: Instant) -> bool {
-        let work = Duration::from_secs_f64(self.work_secs(&request.kind));
+        let work = Duration::from_secs_f64(self.work_secs(request.kind()));
         now + work > request.arrived_at + request.target
     }
 
@@ -293,12 +316,12 @@
             })
             .collect();
         order.sort_unstable();
-        let mut kept = 0;
+        let mut kept = 0_u32;
         for (_, rank, is_late, key) in order {
             let Some(request) = self.waiting.get(&key) else {
                 continue;
             };
-            let work = self.work_secs(&request.kind);
+            let work = self.work_secs(request.kind());
             let urgent_share = match starving {
                 Some(first) if first == key => 0.0,
                 _ if is_late => self.share_of(..=rank),
@@ -309,7 +332,9 @@
             let Some(place) = places.iter_mut().min_by(|a, b| a.total_cmp(b)) else {
                 continue;
             };
-            let wait = *place / (1.0 - urgent_share);
+            let paced = self.next_start.saturating_duration_since(now).as_secs_f64()
+                + self.pace.as_secs_f64() * f64::from(kept);
+            let wait = (*place / (1.0 - urgent_share)).max(paced);
             let excess = wait + work - left;
             // A request that can start now is sent even if its work seems too long, as nothing else
             // would correct an estimate that is too high.
@@ -332,7 +357,7 @@
             .running
             .iter()
             .map(|running| {
-                let work = self.work_secs(&running.kind);
+                let work = self.work_secs(running.kind);
                 let elapsed = now.saturating_duration_since(running.started_at);
                 (work - elapsed.as_secs_f64()).max(work * OVERDUE_RATIO)
             })
@@ -357,8 +382,8 @@
     }
 
     /// Expected work of a kind in seconds, 0 until a request of it was served.
-    fn work_secs(&self, kind: &str) -> f64 {
-        self.work.get(kind).copied().unwrap_or(0.0)
+    fn work_secs(&self, kind: Kind) -> f64 {
+        self.work.get(&kind).copied().unwrap_or(0.0)
     }
 
     fn fade(&mut self, now: Instant) {
--- a/src/gateway/tests/seats.rs
+++ b/src/gateway/tests/seats.rs
@@ -186,7 +186,6 @@
 
 fn request(kind: &Kind, now: Instant) -> SeatRequest {
     SeatRequest {
-        kind: kind.name.into(),
         rank: kind.rank,
         target: Duration::from_millis(kind.target_ms),
         arrived_at: now,
@@ -342,14 +341,44 @@
 fn the_queue_is_bounded() {
     let now = clock::now();
     let mut seats = Seats::new(2, now);
-    for _ in 0..MAX_WAITING * 2 {
+    let bound = MAX_WAITING as usize;
+    for _ in 0..bound * 2 {
         seats.arrive(request(&LONG, now), now);
         seats.decide(now);
     }
-    assert!(seats.waiting_count() <= MAX_WAITING);
+    assert!(seats.waiting_count() <= bound);
     assert!(seats.running_count() <= 2);
 }
 
+/// Fails if a cold server gets more requests than it can handle, or if what it can't handle in time
+/// waits.
+#[test]
+fn a_cold_server_gets_requests_at_its_pace() {
+    let start = clock::now();
+    let mut seats = Seats::new(6, start);
+    seats.set_pace(Duration::from_millis(240));
+    let (mut started, mut refused) = (0, 0);
+    for ms in 0..10_000 {
+        let now = start + Duration::from_millis(ms);
+        if ms % 50 == 0 {
+            seats.arrive(request(&SHORT, now), now);
+        }
+        for (id, decision) in seats.decide(now) {
+            match decision {
+                Decision::Start => {
+                    seats.finish(id, true, now);
+                    started += 1;
+                }
+                Decision::Refuse(_) => refused += 1,
+            }
+        }
+        assert!(seats.waiting_count() <= 4, "800 ms at one in 240 ms");
+    }
+    // 4.2 a second of 20.
+    assert!((40..=42).contains(&started), "{started}");
+    assert!(refused >= 150, "{refused}");
+}
+
 /// Fails if a request that has left keeps its place in the queue, or one that ended twice frees two
 /// places.
 #[test]
