Entry VMs of a zone tell each other what they have in flight

Cause: each of many entry VMs hears from a server about once a second, and chooses by load that is a request's length old: servers queue while others are idle.

Change: entry VMs that prefer the same servers exchange UDP datagrams with their requests in flight and the newest reported load, at most every 40 ms to at most 24 receivers, and only when something changed. Backend::load counts them. In force for services without keys where a zone has more entry VMs than a server has slots.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -13,11 +13,20 @@
     static THREAD_OFFSET: Cell<Duration> = const { Cell::new(Duration::ZERO) };
 }
 
+#[cfg(test)]
+thread_local! {
+    static FROZEN_AT: Cell<Option<Instant>> = const { Cell::new(None) };
+}
+
 /// Reference moment of [`now`], as an instant and as the time since boot.
 static START: OnceLock<(Instant, Duration)> = OnceLock::new();
 
 /// Monotonic time, suspended time included, plus the offset of this thread.
 pub fn now() -> Instant {
+    #[cfg(test)]
+    if let Some(at) = FROZEN_AT.get() {
+        return at + THREAD_OFFSET.get();
+    }
     let (start, start_uptime) = *START.get_or_init(|| (Instant::now(), uptime()));
     start + uptime().saturating_sub(start_uptime) + THREAD_OFFSET.get()
 }
@@ -48,6 +57,12 @@
     THREAD_OFFSET.set(THREAD_OFFSET.get() + by);
 }
 
+/// Stops [`now`] in this thread, so that only [`advance`] moves it and a replay is repeatable.
+#[cfg(test)]
+pub(crate) fn freeze() {
+    FROZEN_AT.set(Some(now()));
+}
+
 /// Whole milliseconds of a duration, capped at `u64::MAX`.
 pub fn as_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -13,6 +13,8 @@
 
 use super::backend_connection::BackendConnection;
 use super::head::ReportedLoad;
+use super::peers::codec::{AgedReport, Entry};
+use super::peers::{self, Changes, PeerLoads, ServerHash, VmHash};
 use crate::clock;
 use crate::fleet::messages::RelativeLatency;
 use crate::fleet::{Server, ServerState};
@@ -44,6 +46,9 @@
 /// Time in which the reported load of other entry VMs fades to zero.
 const REPORTED_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// How long work takes at a server that reports nothing about it, in percent of what is usual.
+const USUAL_PERCENT: u16 = 100;
+
 /// Connection in the pool.
 struct IdleConnection {
     connection: BackendConnection,
@@ -61,7 +66,15 @@
     /// Since when requests are in flight and none was answered.
     silent_since: Cell<Option<Instant>>,
     idle: RefCell<Vec<IdleConnection>>,
-    /// Requests of other entry VMs according to the last response.
+    name_hash: ServerHash,
+    /// Told when requests start or end, if other entry VMs are told of the server's load.
+    changes: RefCell<Option<Rc<Changes>>>,
+    /// Requests of other entry VMs that report them.
+    peer_loads: RefCell<PeerLoads>,
+    /// Last load that the server reported to this VM.
+    own_report: Cell<Option<(ReportedLoad, Instant)>>,
+    /// Requests of entry VMs that don't report them, according to the last load that the server
+    /// reported to this VM or to one that reports.
     other_load: Cell<f64>,
     load_reported_at: Cell<Instant>,
     /// Moving average of the request time relative to other servers of the service.
@@ -87,6 +100,10 @@
         let now = clock::now();
         Rc::new(Self {
             warm_at: now + server.warmup,
+            name_hash: peers::server_hash(&server.incarnation.server),
+            changes: RefCell::default(),
+            peer_loads: RefCell::default(),
+            own_report: Cell::new(None),
             server: RefCell::new(server),
             preferred: Cell::new(true),
             in_flight: Cell::new(0),
@@ -142,7 +159,50 @@
     pub fn load(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.load_reported_at.get());
         let freshness = 1.0 - (age.as_secs_f64() / REPORTED_LOAD_LIFETIME.as_secs_f64()).min(1.0);
-        f64::from(self.in_flight.get()) + self.other_load.get() * freshness
+        self.counted_load(now) + self.other_load.get() * freshness
+    }
+
+    /// Requests in flight of this VM and of those that report theirs.
+    fn counted_load(&self, now: Instant) -> f64 {
+        f64::from(self.in_flight.get()) + self.peer_loads.borrow().total(now)
+    }
+
+    /// Hash of the server's name.
+    pub fn name_hash(&self) -> ServerHash {
+        self.name_hash
+    }
+
+    /// Sets what is told when requests start or end.
+    pub fn set_changes(&self, changes: Option<Rc<Changes>>) {
+        *self.changes.borrow_mut() = changes;
+    }
+
+    /// What this VM reports of the server to other entry VMs.
+    pub fn peer_entry(&self, now: Instant) -> Entry {
+        let report = self.own_report.get().map(|(load, at)| AgedReport {
+            requests: u16::try_from(load.total()).unwrap_or(u16::MAX),
+            percent: USUAL_PERCENT,
+            age: now.saturating_duration_since(at),
+        });
+        Entry {
+            server: self.name_hash,
+            in_flight: u16::try_from(self.in_flight.get()).unwrap_or(u16::MAX),
+            report: report.filter(|r| r.age < REPORTED_LOAD_LIFETIME),
+        }
+    }
+
+    /// Records what another entry VM reports of the server.
+    pub fn record_peer(&self, sender: VmHash, entry: &Entry, now: Instant) {
+        let mut peer_loads = self.peer_loads.borrow_mut();
+        peer_loads.record(sender, entry.in_flight, now);
+        drop(peer_loads);
+        let reported_at = |report: &AgedReport| now.checked_sub(report.age);
+        let report = entry.report.and_then(|r| Some((r, reported_at(&r)?)));
+        if let Some((report, at)) = report.filter(|(_, at)| *at > self.load_reported_at.get()) {
+            let other = f64::from(report.requests) - self.counted_load(now);
+            self.other_load.set(other.max(0.0));
+            self.load_reported_at.set(at);
+        }
     }
 
     /// Request time relative to other servers of the service; doubled during warm-up.
@@ -183,6 +243,9 @@
             self.silent_since.set(Some(clock::now()));
         }
         self.in_flight.set(self.in_flight.get() + 1);
+        if let Some(changes) = &*self.changes.borrow() {
+            changes.record_start(self.name_hash);
+        }
         InFlightGuard {
             backend: Rc::clone(self),
         }
@@ -212,10 +275,10 @@
             self.latency_sum.set(self.latency_sum.get() + latency);
         }
         if let Some(load) = reported {
-            let total = f64::from(load.running.saturating_add(load.waiting));
-            self.other_load
-                .set((total - f64::from(self.in_flight.get())).max(0.0));
+            let other = f64::from(load.total()) - self.counted_load(now);
+            self.other_load.set(other.max(0.0));
             self.load_reported_at.set(now);
+            self.own_report.set(Some((load, now)));
         }
     }
 
@@ -412,6 +475,9 @@
         if remaining == 0 {
             self.backend.silent_since.set(None);
         }
+        if let Some(changes) = &*self.backend.changes.borrow() {
+            changes.record_end(self.backend.name_hash);
+        }
     }
 }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -12,7 +12,7 @@
 use monoio::net::TcpListener;
 
 use super::control_poll::{self, Seeds};
-use super::{Gateway, HeaderNames, caller};
+use super::{Gateway, HeaderNames, caller, peers};
 use crate::clock;
 use crate::fleet::{Vm, VmRole};
 use crate::settings::fleet::{EntrySettings, SettingsFile};
@@ -64,6 +64,7 @@
     };
     gateway.drain.set(settings.drain);
     gateway.routing.borrow_mut().local_vm = Some(local_vm.clone());
+    peers::socket::start(settings.peer, &gateway.routing.borrow().peers);
     journal.record(Event::new("gateway.started").zone(&settings.zone));
     let polling = control_poll::run(
         Rc::clone(&gateway),
@@ -178,4 +179,19 @@
         gateway.counters.quiet.get(),
     );
     journal.record(Event::new("gateway.stopped").detail(&detail));
+    let routing = gateway.routing.borrow();
+    let counters = &routing.peers.counters;
+    let detail = format!(
+        "sent={} sent_bytes={} unsent={} received={} received_bytes={} malformed={} old={} \
+         unknown={}",
+        counters.sent.get(),
+        counters.sent_bytes.get(),
+        counters.unsent.get(),
+        counters.received.get(),
+        counters.received_bytes.get(),
+        counters.malformed.get(),
+        counters.old.get(),
+        counters.unknown.get(),
+    );
+    journal.record(Event::new("gateway.peers").detail(&detail));
 }
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -199,6 +199,13 @@
     pub waiting: u32,
 }
 
+impl ReportedLoad {
+    /// Running and waiting requests.
+    pub fn total(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// Parses the load reported in a response; `None` if it is missing or malformed.
 ///
 /// Reported loads may mislead anyway, and local observations weigh more.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod exchange;
 pub mod head;
 mod notices;
+pub mod peers;
 pub mod request;
 pub mod response;
 mod response_writer;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::backend::Backend;
+use super::peers::{Peers, Ring};
 use super::selection;
 use crate::fleet::leases;
 use crate::fleet::messages::RelativeLatency;
@@ -29,6 +30,8 @@
     pub vms: Vec<Vm>,
     /// This VM.
     pub local_vm: Option<Vm>,
+    /// Load that entry VMs report to each other.
+    pub peers: Rc<Peers>,
     backends: HashMap<ids::ServerName, Rc<Backend>>,
     services: HashMap<ids::ServiceName, Vec<Rc<Backend>>>,
     key_ranges: HashMap<ids::ServiceName, Vec<RangeOwner>>,
@@ -71,6 +74,7 @@
             return false;
         }
         self.index = updates.index;
+        let table_changed = updates.table.is_some();
         if let Some(update) = updates.table {
             let table = update.apply(self.table.as_deref());
             self.lookup = table::Lookup::new(&table);
@@ -85,7 +89,8 @@
                 .collect();
             self.backends.retain(|name, _| names.contains(&name));
         }
-        let changed = updates.full || !updates.servers.is_empty() || !updates.vms.is_empty();
+        let changed =
+            updates.full || table_changed || !updates.servers.is_empty() || !updates.vms.is_empty();
         for server in updates.servers {
             self.upsert_server(server);
         }
@@ -273,6 +278,25 @@
         for backends in self.services.values() {
             selection::assign_preferred(backends, &local_vm.zone, position);
         }
+        self.configure_peers(local_vm);
+    }
+
+    /// Sets which load is exchanged: that of services without keys for which the zone has more entry
+    /// VMs than a server has slots, so that few of a server's requests are this VM's.
+    fn configure_peers(&self, local_vm: &Vm) {
+        let zone = &local_vm.zone;
+        let in_zone = |v: &&Vm| v.role == VmRole::Entry && v.zone == *zone;
+        let vms = self.vms.iter().filter(in_zone);
+        let mut vms: Vec<_> = vms.map(|v| (Arc::clone(&v.name), v.address)).collect();
+        vms.sort();
+        let local = vms.partition_point(|(name, _)| *name < local_vm.name);
+        let ring = Ring { vms, local };
+        let keyless = self.services.iter();
+        let keyless = keyless.filter(|(s, _)| self.service(s).is_some_and(|s| !s.sharded));
+        let zone_backends = keyless.map(|(_, b)| selection::zone_order(b, zone));
+        let few_slots = |b: &Rc<Backend>| (b.server().slots as usize) < ring.vms.len();
+        let shared: Vec<_> = zone_backends.filter(|b| b.iter().all(few_slots)).collect();
+        self.peers.configure(&local_vm.name, &ring, &shared);
     }
 }
 
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -121,16 +121,25 @@
 /// number. Preferred sets are spread evenly, so that each server is preferred by about
 /// as many entry VMs.
 pub fn assign_preferred(backends: &[Rc<Backend>], zone: &str, position: (usize, usize)) {
-    let mut zone_backends: Vec<_> = backends
-        .iter()
-        .filter(|b| *b.server().zone == *zone)
-        .collect();
-    zone_backends.sort_by_key(|b| Arc::clone(&b.server().incarnation.server));
-    let (index, entry_vms) = position;
-    let first = index * zone_backends.len() / entry_vms.max(1);
+    let zone_backends = zone_order(backends, zone);
     for (i, backend) in zone_backends.iter().enumerate() {
-        let offset =
-            (i + zone_backends.len() - first.min(zone_backends.len())) % zone_backends.len().max(1);
-        backend.set_preferred(offset < PREFERRED_PER_ENTRY_VM);
+        backend.set_preferred(prefers(position, (i, zone_backends.len())));
     }
 }
+
+/// Whether an entry VM prefers a backend server; both are given by their index and the number of
+/// those in the zone.
+pub fn prefers(entry_vm: (usize, usize), server: (usize, usize)) -> bool {
+    let ((index, entry_vms), (i, servers)) = (entry_vm, server);
+    let first = index * servers / entry_vms.max(1);
+    let offset = (i + servers - first.min(servers)) % servers.max(1);
+    offset < PREFERRED_PER_ENTRY_VM
+}
+
+/// Backend servers of a zone in the order in which entry VMs prefer them.
+pub fn zone_order(backends: &[Rc<Backend>], zone: &str) -> Vec<Rc<Backend>> {
+    let in_zone = backends.iter().filter(|b| *b.server().zone == *zone);
+    let mut zone_backends: Vec<_> = in_zone.cloned().collect();
+    zone_backends.sort_by_key(|b| Arc::clone(&b.server().incarnation.server));
+    zone_backends
+}
