--- a/src/gateway/tests/load_replay.rs
+++ b/src/gateway/tests/load_replay.rs
@@ -19,6 +19,7 @@
         crowding: 0.0,
         loss: 0.01,
         shares_load: true,
+        reports_percent: false,
     }
 }
 
@@ -122,3 +123,32 @@
     println!("datagrams a VM and second at 28 and 100 VMs of the zone: {figures:?}");
     assert!(figures.iter().all(|f| *f < 24.0 * 25.0));
 }
+
+#[test]
+#[ignore]
+fn figures() {
+    let burst = |t: f64| if (5.0..10.0).contains(&t) { 640.0 } else { 375.0 };
+    let burst_over = |t: f64| if (5.0..10.0).contains(&t) { 800.0 } else { 375.0 };
+    let large = || Pattern { seconds: 20.0, ..large() };
+    for (name, pattern) in [
+        ("speeds", Pattern { slow_share: 0.0, ..large() }),
+        ("large", large()),
+        ("large percent", Pattern { reports_percent: true, ..large() }),
+        ("burst 1.7", Pattern { rate: burst, ..large() }),
+        ("burst 1.7 percent", Pattern { rate: burst, reports_percent: true, ..large() }),
+        ("burst 2.1 percent", Pattern { rate: burst_over, reports_percent: true, ..large() }),
+        ("crowding", Pattern { crowding: 0.4, slow_share: 0.0, ..large() }),
+        ("crowding burst", Pattern { crowding: 0.4, slow_share: 0.0, rate: burst, ..large() }),
+        ("small servers", Pattern { seconds: 20.0, ..small_servers() }),
+        ("small servers burst", Pattern { seconds: 20.0, rate: |t| if (5.0..10.0).contains(&t) { 700.0 } else { 317.0 }, ..small_servers() }),
+    ] {
+        for shares_load in [false, true] {
+            let o = Replay::run(&Pattern { shares_load, ..pattern.clone() }, 1);
+            println!(
+                "{name:20} in time {:.4} late {} refused {} rejections {} most {:.2} met {:.3} datagrams {:.0} of {}",
+                o.share_in_time(), o.late, o.refused, o.rejections, o.most_loaded, o.mean_met,
+                f64::from(o.datagrams) / 28.0 / 20.0, o.arrivals,
+            );
+        }
+    }
+}
