--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -12,7 +12,10 @@
 use http::HeaderValue;
 
 use super::backend_connection::BackendConnection;
+use super::capacity::Capacity;
 use super::head::ReportedLoad;
+use super::peers::codec::{AgedReport, Entry};
+use super::peers::{self, Changes, PeerLoads, ServerHash, VmHash};
 use super::warmup::Limiter;
 use crate::clock;
 use crate::fleet::messages::RelativeLatency;
@@ -45,6 +48,9 @@
 /// Time in which the reported load of other entry VMs fades to zero.
 const REPORTED_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// Longest expected time of a request, as a multiple of the average.
+const MAX_EXPECTED_RATIO: f64 = 100.0;
+
 /// Connection in the pool.
 struct IdleConnection {
     connection: BackendConnection,
@@ -62,9 +68,18 @@
     /// Since when requests are in flight and none was answered.
     silent_since: Cell<Option<Instant>>,
     idle: RefCell<Vec<IdleConnection>>,
-    /// Requests of other entry VMs according to the last response.
+    name_hash: ServerHash,
+    /// Told when requests start or end, if other entry VMs are told of the server's load.
+    changes: RefCell<Option<Rc<Changes>>>,
+    /// Requests of other entry VMs that report them.
+    peer_loads: RefCell<PeerLoads>,
+    /// Last load that the server reported to this VM.
+    own_report: Cell<Option<(ReportedLoad, Instant)>>,
+    /// Requests of entry VMs that don't report them, according to the last load that the server
+    /// reported to this VM or to one that reports.
     other_load: Cell<f64>,
     load_reported_at: Cell<Instant>,
+    capacity: RefCell<Capacity>,
     /// Moving average of the request time relative to other servers of the service.
     relative_latency: Cell<f64>,
     /// Number and sum of the relative latencies since they were last taken.
@@ -93,6 +108,11 @@
         limiter.set_cold(server.warmup, now);
         Rc::new(Self {
             warm_at: now + server.warmup,
+            name_hash: peers::server_hash(&server.incarnation.server),
+            capacity: RefCell::new(Capacity::new(server.slots)),
+            changes: RefCell::default(),
+            peer_loads: RefCell::default(),
+            own_report: Cell::new(None),
             server: RefCell::new(server),
             preferred: Cell::new(true),
             in_flight: Cell::new(0),
@@ -166,13 +186,96 @@
     pub fn load(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.load_reported_at.get());
         let freshness = 1.0 - (age.as_secs_f64() / REPORTED_LOAD_LIFETIME.as_secs_f64()).min(1.0);
-        f64::from(self.in_flight.get()) + self.other_load.get() * freshness
+        self.counted_load(now) + self.other_load.get() * freshness
+    }
+
+    /// Requests in flight of this VM and of those that report theirs.
+    fn counted_load(&self, now: Instant) -> f64 {
+        f64::from(self.in_flight.get()) + self.peer_loads.borrow().total(now)
+    }
+
+    /// Hash of the server's name.
+    pub fn name_hash(&self) -> ServerHash {
+        self.name_hash
+    }
+
+    /// Sets what is told when requests start or end.
+    pub fn set_changes(&self, changes: Option<Rc<Changes>>) {
+        *self.changes.borrow_mut() = changes;
+    }
+
+    /// What this VM reports of the server to other entry VMs.
+    pub fn peer_entry(&self, now: Instant) -> Entry {
+        let report = self.own_report.get().map(|(load, at)| AgedReport {
+            requests: u16::try_from(load.total()).unwrap_or(u16::MAX),
+            percent: load.percent.unwrap_or(0),
+            age: now.saturating_duration_since(at),
+        });
+        Entry {
+            server: self.name_hash,
+            in_flight: u16::try_from(self.in_flight.get()).unwrap_or(u16::MAX),
+            report: report.filter(|r| r.age < REPORTED_LOAD_LIFETIME),
+        }
+    }
+
+    /// Records what another entry VM reports of the server.
+    pub fn record_peer(&self, sender: VmHash, entry: &Entry, now: Instant) {
+        let mut peer_loads = self.peer_loads.borrow_mut();
+        peer_loads.record(sender, entry.in_flight, now);
+        drop(peer_loads);
+        let mut capacity = self.capacity.borrow_mut();
+        let reported_at = |report: &AgedReport| now.checked_sub(report.age);
+        let report = entry.report.and_then(|r| Some((r, reported_at(&r)?)));
+        if let Some((report, at)) = report.filter(|(_, at)| *at > self.load_reported_at.get()) {
+            let other = f64::from(report.requests) - self.counted_load(now);
+            self.other_load.set(other.max(0.0));
+            self.load_reported_at.set(at);
+            capacity.record_percent(report.percent, at);
+        }
     }
 
     /// Request time relative to other servers of the service; doubled during warm-up.
     pub fn relative_latency(&self, now: Instant) -> f64 {
         let warmup_factor = if now < self.warm_at { 2.0 } else { 1.0 };
-        self.relative_latency.get().max(0.1) * warmup_factor
+        let capacity = self.capacity.borrow();
+        let relative = if self.shares_load() || capacity.is_reported() {
+            capacity.relative_time(now)
+        } else {
+            self.relative_latency.get()
+        };
+        relative.max(0.1) * warmup_factor
+    }
+
+    /// Whether other entry VMs are told of the server's load.
+    pub fn shares_load(&self) -> bool {
+        self.changes.borrow().is_some()
+    }
+
+    /// Requests in flight, of all entry VMs together, that the server takes well; from 1 to its
+    /// slots.
+    pub fn room(&self, now: Instant) -> f64 {
+        self.capacity.borrow().limit(now)
+    }
+
+    /// Expected time of a request that is sent now, of a kind that takes `average` at a server of
+    /// usual speed.
+    pub fn expected_time(&self, average: Duration, now: Instant) -> Duration {
+        let wait = ((self.load(now) + 1.0) / self.room(now)).max(1.0);
+        average.mul_f64((self.relative_latency(now) * wait).min(MAX_EXPECTED_RATIO))
+    }
+
+    /// Records a response: its time relative to others of its kind, and the load at the server
+    /// when it was sent.
+    pub fn record_latency(&self, latency: f64, load: f64) {
+        let now = clock::now();
+        self.capacity
+            .borrow_mut()
+            .record_response(latency, load, now);
+    }
+
+    /// Records that a response didn't arrive in time.
+    pub fn record_timeout(&self) {
+        self.capacity.borrow_mut().record_overload(clock::now());
     }
 
     /// Takes the average relative latency since the last call, if there were responses.
@@ -207,6 +310,9 @@
             self.silent_since.set(Some(clock::now()));
         }
         self.in_flight.set(self.in_flight.get() + 1);
+        if let Some(changes) = &*self.changes.borrow() {
+            changes.record_start(self.name_hash);
+        }
         InFlightGuard {
             backend: Rc::clone(self),
         }
@@ -237,25 +343,32 @@
             self.latency_sum.set(self.latency_sum.get() + latency);
         }
         if let Some(load) = reported {
-            let total = f64::from(load.running.saturating_add(load.waiting));
-            self.other_load
-                .set((total - f64::from(self.in_flight.get())).max(0.0));
+            let other = f64::from(load.total()) - self.counted_load(now);
+            self.other_load.set(other.max(0.0));
             self.load_reported_at.set(now);
+            self.own_report.set(Some((load, now)));
+            let percent = load.percent.unwrap_or(0);
+            self.capacity.borrow_mut().record_percent(percent, now);
         }
     }
 
     /// Records a request that was abandoned after `latency`, relative to the route's average; its
-    /// response would have taken longer.
-    pub fn record_abandoned(&self, latency: f64) {
+    /// response would have taken longer. `load` is that at the server when the request was sent.
+    pub fn record_abandoned(&self, latency: f64, load: f64) {
         if latency > self.relative_latency.get() {
             update_average(&self.relative_latency, latency);
         }
+        if latency > self.relative_latency(clock::now()) {
+            self.record_latency(latency, load);
+        }
     }
 
     /// Records a rejection for lack of capacity.
     pub fn record_full(&self, slots: u32) {
+        let now = clock::now();
         self.other_load.set(f64::from(slots) * 2.0);
-        self.load_reported_at.set(clock::now());
+        self.load_reported_at.set(now);
+        self.capacity.borrow_mut().record_overload(now);
     }
 
     /// Records that the server dropped a new connection unanswered, as it does with those over its
@@ -265,6 +378,7 @@
     /// and their new connections take the place of responses. The pauses differ at random, so that
     /// the VMs don't return all at once.
     pub fn record_overload(&self) {
+        self.capacity.borrow_mut().record_overload(clock::now());
         let pause = self.overload_pause.get().saturating_mul(2);
         let pause = pause.clamp(MIN_OVERLOAD_PAUSE, MAX_OVERLOAD_PAUSE);
         self.overload_pause.set(pause);
@@ -464,6 +578,9 @@
         if remaining == 0 {
             self.backend.silent_since.set(None);
         }
+        if let Some(changes) = &*self.backend.changes.borrow() {
+            changes.record_end(self.backend.name_hash);
+        }
     }
 }
 
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -15,8 +15,8 @@
 /// take longer than the average.
 const SECOND_MARGIN: f64 = 1.3;
 
-/// Share of a server's slots up to which it takes second attempts, so that they never queue
-/// before first ones.
+/// Share of the requests that a server takes well up to which it gets second attempts, so that they
+/// never queue before first ones.
 const FREE_SLOT_RATIO: f64 = 0.75;
 
 /// Times that a second attempt depends on.
@@ -39,7 +39,8 @@
     (latest >= times.first.mul_f64(OVERDUE_RATIO)).then_some(latest)
 }
 
-/// Whether a server with `load` requests in flight has a free slot for a second attempt.
-pub fn has_free_slot(load: f64, slots: u32) -> bool {
-    load + 1.0 <= (f64::from(slots) * FREE_SLOT_RATIO).max(1.0)
+/// Whether a server with `load` requests in flight, which takes `room` of them well, has a free slot
+/// for a second attempt.
+pub fn has_free_slot(load: f64, room: f64) -> bool {
+    load + 1.0 <= (room * FREE_SLOT_RATIO).max(1.0)
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -273,8 +273,8 @@
             let context = self.selection_context(&routing);
             let backends = routing.backends(&self.service);
             let backend = selection::select_backend(backends, &excluded, &context)?;
-            let load = backend.load(context.now);
-            Some(backend).filter(|b| hedge::has_free_slot(load, b.server().slots))?
+            let (load, room) = (backend.load(context.now), backend.room(context.now));
+            Some(backend).filter(|_| hedge::has_free_slot(load, room))?
         };
         if !self.try_spend(true) {
             return None;
@@ -286,7 +286,7 @@
     /// Records that an attempt was abandoned unanswered.
     fn record_abandoned(&self, sent: &SentAttempt) {
         if let Some(latency) = self.relative_latency(sent, false) {
-            sent.backend.record_abandoned(latency);
+            sent.backend.record_abandoned(latency, sent.load);
         }
     }
 
@@ -362,6 +362,9 @@
                 let latency = self.relative_latency(sent, failed || relayed);
                 let reported = head::reported_load(&response.headers, &self.gateway.header_names);
                 backend.record_response(latency, reported, failed);
+                if let Some(latency) = latency {
+                    backend.record_latency(latency, sent.load);
+                }
                 if let Some(key) = self.key {
                     let mut routing = self.gateway.routing.borrow_mut();
                     routing.record_held(&self.service, key);
@@ -419,6 +422,7 @@
             }
             Outcome::TimedOut => {
                 log_attempt("timed_out", "no answer in time");
+                backend.record_timeout();
                 backend.record_failure(self.key.is_none());
                 attempts.may_have_run = true;
                 attempts.timed_out = true;
--- a/src/gateway/tests/hedging.rs
+++ b/src/gateway/tests/hedging.rs
@@ -44,10 +44,10 @@
 /// Guards against second attempts that queue before first ones.
 #[test]
 fn a_second_attempt_needs_a_free_slot() {
-    assert!(hedge::has_free_slot(0.0, 1));
-    assert!(!hedge::has_free_slot(1.0, 2));
-    assert!(hedge::has_free_slot(3.0, 6));
-    assert!(!hedge::has_free_slot(4.0, 6));
+    assert!(hedge::has_free_slot(0.0, 1.0));
+    assert!(!hedge::has_free_slot(1.0, 2.0));
+    assert!(hedge::has_free_slot(3.0, 6.0));
+    assert!(!hedge::has_free_slot(4.0, 6.0));
 }
 
 /// Servers that are slow for moments: a fifth of the requests take three times as long. Second
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,5 +1,6 @@
 mod backend;
 mod budget;
+mod capacity;
 mod connections;
 mod copies;
 mod copy_model;
@@ -8,8 +9,11 @@
 mod head;
 mod hedging;
 mod invalid_status;
+mod load_model;
+mod load_replay;
 mod mock;
 mod notices;
+mod peers;
 mod relay;
 mod requests;
 mod routing;
