--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -344,6 +344,11 @@
                 .incarnation(&process.server.incarnation)
                 .map(|s| s.state);
             assert_eq!(state, Some(ServerState::Ready), "{:?}", process.server);
+            let incarnation = &process.server.incarnation;
+            let is_silent =
+                self.leases
+                    .is_silent(incarnation, 2 * STEP * HEARTBEAT_STEPS, self.now);
+            assert!(!is_silent, "heartbeats of {incarnation:?} don't count");
         }
         let held = self.processes.iter().flat_map(|p| &p.held);
         let keys: u32 = held.map(|h| u32::from(h.0.to - h.0.from) + 1).sum();
