--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -123,6 +123,8 @@
     /// Incarnations that another one displaces by a change that is being committed; they get no
     /// leases.
     displacing: RefCell<HashSet<Incarnation>>,
+    /// Incarnations whose name or address another one has claimed since their last heartbeat.
+    pub(super) contested: RefCell<HashSet<Incarnation>>,
     /// Evacuations of zones that are under way.
     pub(super) evacuations: RefCell<evacuation::Progress>,
 }
@@ -150,6 +152,7 @@
             latencies: RefCell::default(),
             marking: RefCell::default(),
             displacing: RefCell::default(),
+            contested: RefCell::default(),
             evacuations: RefCell::default(),
             pass_needed: Notify::default(),
             pass_requested: Cell::default(),
@@ -456,13 +459,17 @@
             self.with_fleet(|s| registration::decide(heartbeat, has_service, s, &leases, now))
         };
         let (displaced, change) = match decision {
-            Registration::Known => return Ok(self.is_present(incarnation)),
+            Registration::Known => {
+                self.contested.borrow_mut().remove(incarnation);
+                return Ok(self.is_present(incarnation));
+            }
             Registration::Ignored => {
-                ::log::info!(
-                    "event=fleet.heartbeat_ignored server={:?} born={} service={service:?}",
-                    incarnation.server,
-                    incarnation.start_ms,
-                );
+                log_ignored(heartbeat);
+                return Ok(false);
+            }
+            Registration::Blocked(by) => {
+                self.contested.borrow_mut().extend(by);
+                log_ignored(heartbeat);
                 return Ok(false);
             }
             Registration::Conflict => {
@@ -483,6 +490,16 @@
         registered.map(|()| self.is_present(incarnation))
     }
 
+    /// Whether an incarnation may be another process by now: it is silent, and one of its name or
+    /// address sends heartbeats.
+    ///
+    /// Grants by calls would otherwise reach the new process under the old one's name, and keep
+    /// it from being registered.
+    pub(super) fn may_be_replaced(&self, leases: &Leases, incarnation: &Incarnation) -> bool {
+        self.contested.borrow().contains(incarnation)
+            && leases.is_silent(incarnation, SILENCE_LIMIT, clock::now())
+    }
+
     /// Whether an incarnation is registered and no other one is about to displace it.
     pub(super) fn is_present(&self, incarnation: &Incarnation) -> bool {
         self.with_fleet(|store| store.incarnation(incarnation).is_some())
@@ -570,6 +587,16 @@
     }
 }
 
+fn log_ignored(heartbeat: &Heartbeat) {
+    let incarnation = heartbeat.incarnation();
+    ::log::info!(
+        "event=fleet.heartbeat_ignored server={:?} born={} service={:?}",
+        incarnation.server,
+        incarnation.start_ms,
+        heartbeat.server.service,
+    );
+}
+
 impl fmt::Debug for Coordinator {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Coordinator").finish_non_exhaustive()
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -194,6 +194,9 @@
         }
         let now = clock::now();
         let leases = self.leases(leading_since);
+        if self.may_be_replaced(&leases, &server.incarnation) {
+            return false;
+        }
         let is_owned = |r: &KeyRange| {
             r.owner.as_ref() == Some(&server.incarnation)
                 && r.fence == run.fence
@@ -287,6 +290,7 @@
         self.with_fleet(|store| {
             let is_known = |i: &Incarnation| store.incarnation(i).is_some();
             self.clients.borrow_mut().retain(|i, _| is_known(i));
+            self.contested.borrow_mut().retain(|i| is_known(i));
             let mut leases = self.leases(leading_since);
             leases.calls_mut().retain(is_known);
             leases.retain_heartbeats(|server| store.server(server).is_some());
--- a/src/fleet/registration.rs
+++ b/src/fleet/registration.rs
@@ -20,9 +20,10 @@
 pub enum Registration {
     /// The sender is registered.
     Known,
-    /// The heartbeat names a service that the routing table doesn't have, or would displace a
-    /// server that may be running.
+    /// The heartbeat names a service that the routing table doesn't have.
     Ignored,
+    /// The heartbeat would displace these servers, which may be running.
+    Blocked(Vec<Incarnation>),
     /// The sender is registered with another service or address, and may be running there.
     Conflict,
     /// The sender is to be registered.
@@ -54,10 +55,12 @@
     let at_address = store.others_at(sender.address, &sender.incarnation);
     let displaced: Vec<_> = by_name.into_iter().chain(at_address).collect();
     let gives_way = |s: &&Server| may_displace(s, sender, store, leases, now);
-    if !displaced.iter().all(gives_way) {
+    let stays = displaced.iter().filter(|s| !gives_way(s));
+    let stays: Vec<_> = stays.map(|s| s.incarnation.clone()).collect();
+    if !stays.is_empty() {
         return match registered {
             Some(_) => Registration::Conflict,
-            None => Registration::Ignored,
+            None => Registration::Blocked(stays),
         };
     }
     let server = sender.clone();
