--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -222,7 +222,9 @@
             registration::decide(heartbeat, has_service, &self.store, &self.leases, self.now);
         match decision {
             Registration::Known => {}
-            Registration::Ignored | Registration::Conflict => return None,
+            Registration::Ignored | Registration::Blocked(_) | Registration::Conflict => {
+                return None;
+            }
             Registration::New { change, .. } => self.apply(*change),
         }
         self.store.incarnation(&sender)?;
@@ -344,6 +346,11 @@
                 .incarnation(&process.server.incarnation)
                 .map(|s| s.state);
             assert_eq!(state, Some(ServerState::Ready), "{:?}", process.server);
+            let incarnation = &process.server.incarnation;
+            let is_silent =
+                self.leases
+                    .is_silent(incarnation, 2 * STEP * HEARTBEAT_STEPS, self.now);
+            assert!(!is_silent, "heartbeats of {incarnation:?} don't count");
         }
         let held = self.processes.iter().flat_map(|p| &p.held);
         let keys: u32 = held.map(|h| u32::from(h.0.to - h.0.from) + 1).sum();
@@ -419,8 +426,9 @@
         let decide = |later: &Heartbeat, has_service, after| {
             registration::decide(later, has_service, &store, &leases, now + after)
         };
-        assert_eq!(decide(&later, true, Duration::ZERO), Registration::Ignored);
-        assert_eq!(decide(&later, true, LEASE), Registration::Ignored);
+        let blocked = Registration::Blocked(vec![incarnation("a", 1)]);
+        assert_eq!(decide(&later, true, Duration::ZERO), blocked);
+        assert_eq!(decide(&later, true, LEASE), blocked);
         assert_eq!(decide(&later, false, ended), Registration::Ignored);
         let displaced = vec![incarnation("a", 1)];
         let change = Box::new(Change::Announce(later.server.clone()));
@@ -444,7 +452,8 @@
     let decide = |store: &Store, after| {
         registration::decide(&own, true, store, &leases, now + Duration::from_secs(after))
     };
-    assert_eq!(decide(&store, 1), Registration::Ignored);
+    let blocked = Registration::Blocked(vec![incarnation("a", u64::MAX)]);
+    assert_eq!(decide(&store, 1), blocked);
     let Registration::New { change, .. } = decide(&store, 2) else {
         panic!("it is not registered");
     };
