--- a/src/gateway/seat_queue.rs
+++ b/src/gateway/seat_queue.rs
@@ -64,7 +64,8 @@
             Rc::clone(queues.entry(incarnation).or_insert_with(new))
         };
         queue.seats.borrow_mut().set_limit(limit);
-        queue.seats.borrow_mut().set_pace(cold_pace(backend, now));
+        let pace = backend.limiter().borrow().relay_interval(now);
+        queue.seats.borrow_mut().set_pace(pace);
         queue.acquire(request).await
     }
 
@@ -194,22 +195,16 @@
     }
 }
 
-/// Requests that may be in flight at a server: its slots without those that others take.
+/// Requests that may be in flight at a server: as many as it takes well, without those of others.
 fn limit(backend: &Backend, now: Instant) -> u32 {
     let others = backend.load(now) - f64::from(backend.in_flight());
     let others = (others - TOLERATED_OTHERS).max(0.0).floor();
-    let slots = f64::from(backend.server().slots);
+    let room = backend.room(now);
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "the value lies between 1 and a u32"
     )]
-    let limit = (slots - others).max(1.0) as u32;
+    let limit = (room - others).round().max(1.0) as u32;
     limit
 }
-
-/// Least time between two requests to a server that is cold, zero for others.
-// With part 3 of docs/plans/uneven-load.md: 1 / requests_per_sec while `Backend::is_cold`.
-fn cold_pace(_backend: &Backend, _now: Instant) -> Duration {
-    Duration::ZERO
-}
--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -223,6 +223,13 @@
         self.wait_until(next, share.interval(), now)
     }
 
+    /// Least time between two requests of a VM through which all requests of an owner pass; zero
+    /// unless the owner is cold.
+    pub fn relay_interval(&self, now: Instant) -> Duration {
+        let share = self.share.filter(|_| self.is_cold(now));
+        share.map_or(Duration::ZERO, |share| share.time_for(1.0))
+    }
+
     /// Time until a VM through which all requests of an owner pass may send one.
     pub fn relay_wait(&self, now: Instant) -> Duration {
         let Some(share) = self.share.filter(|_| self.is_cold(now)) else {
