--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -159,3 +159,21 @@
         "{message}"
     );
 }
+
+/// Guards against entry VMs that don't start where the platform has no bound for evacuations.
+#[test]
+fn the_time_of_an_evacuation_may_be_absent_or_null() {
+    let text = r#"{"vm":"m","zone":"z","peer":"10.0.0.1:1","callers":"10.0.0.1:2",
+        "ready":"10.0.0.1:3","seeds":[],"retries":{"ratio":0.2,"window":"10s","extra":50},
+        "grace":"6s" EXTRA}"#;
+    let read = |extra: &str| {
+        let text = text.replace("EXTRA", extra);
+        let settings = serde_json::from_str::<super::fleet::EntrySettings>(&text);
+        settings.map(|s| s.evacuation).ok()
+    };
+    assert_eq!(read(""), Some(None));
+    assert_eq!(read(",\"evacuation\":null"), Some(None));
+    let five = std::time::Duration::from_secs(5);
+    assert_eq!(read(",\"evacuation\":\"5000ms\""), Some(Some(five)));
+    assert_eq!(read(",\"evacuation\":5"), None);
+}
