--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -175,6 +175,8 @@
     assert_eq!(voters(r#""tolerance":{"vms":0,"zones":1},"#), 3);
     assert_eq!(voters(r#""tolerance":{"vms":1},"#), 3);
     assert_eq!(voters(r#""tolerance":{"vms":2,"zones":1},"#), 5);
+}
+
 /// Guards against entry VMs that don't start where the platform has no bound for evacuations.
 #[test]
 fn the_time_of_an_evacuation_may_be_absent_or_null() {
