Entry VMs learn how fast a server works and how much it takes

Cause: servers of a service differ in speed, and some slow down long before they are full; the average of ten responses follows a change in ten seconds, and 2.5 requests per slot fit none of them. In a burst, servers whose load nobody reports seem idle and are sent everything that doesn't fit elsewhere.

Change: capacity learns the relative time (steps in three responses, slow periods of 400 ms ignored) and a concurrency limit; a reported time of work younger than 300 ms counts at once, also from other entry VMs. In force for services whose load is exchanged.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -12,6 +12,7 @@
 use http::HeaderValue;
 
 use super::backend_connection::BackendConnection;
+use super::capacity::Capacity;
 use super::head::ReportedLoad;
 use super::peers::codec::{AgedReport, Entry};
 use super::peers::{self, Changes, PeerLoads, ServerHash, VmHash};
@@ -46,8 +47,8 @@
 /// Time in which the reported load of other entry VMs fades to zero.
 const REPORTED_LOAD_LIFETIME: Duration = Duration::from_millis(1500);
 
-/// How long work takes at a server that reports nothing about it, in percent of what is usual.
-const USUAL_PERCENT: u16 = 100;
+/// Longest expected time of a request, as a multiple of the average.
+const MAX_EXPECTED_RATIO: f64 = 100.0;
 
 /// Connection in the pool.
 struct IdleConnection {
@@ -77,6 +78,7 @@
     /// reported to this VM or to one that reports.
     other_load: Cell<f64>,
     load_reported_at: Cell<Instant>,
+    capacity: RefCell<Capacity>,
     /// Moving average of the request time relative to other servers of the service.
     relative_latency: Cell<f64>,
     /// Number and sum of the relative latencies since they were last taken.
@@ -101,6 +103,7 @@
         Rc::new(Self {
             warm_at: now + server.warmup,
             name_hash: peers::server_hash(&server.incarnation.server),
+            capacity: RefCell::new(Capacity::new(server.slots)),
             changes: RefCell::default(),
             peer_loads: RefCell::default(),
             own_report: Cell::new(None),
@@ -181,7 +184,7 @@
     pub fn peer_entry(&self, now: Instant) -> Entry {
         let report = self.own_report.get().map(|(load, at)| AgedReport {
             requests: u16::try_from(load.total()).unwrap_or(u16::MAX),
-            percent: USUAL_PERCENT,
+            percent: load.percent.unwrap_or(0),
             age: now.saturating_duration_since(at),
         });
         Entry {
@@ -196,19 +199,59 @@
         let mut peer_loads = self.peer_loads.borrow_mut();
         peer_loads.record(sender, entry.in_flight, now);
         drop(peer_loads);
+        let mut capacity = self.capacity.borrow_mut();
         let reported_at = |report: &AgedReport| now.checked_sub(report.age);
         let report = entry.report.and_then(|r| Some((r, reported_at(&r)?)));
         if let Some((report, at)) = report.filter(|(_, at)| *at > self.load_reported_at.get()) {
             let other = f64::from(report.requests) - self.counted_load(now);
             self.other_load.set(other.max(0.0));
             self.load_reported_at.set(at);
+            capacity.record_percent(report.percent, at);
         }
     }
 
     /// Request time relative to other servers of the service; doubled during warm-up.
     pub fn relative_latency(&self, now: Instant) -> f64 {
         let warmup_factor = if now < self.warm_at { 2.0 } else { 1.0 };
-        self.relative_latency.get().max(0.1) * warmup_factor
+        let capacity = self.capacity.borrow();
+        let relative = if self.shares_load() || capacity.is_reported() {
+            capacity.relative_time(now)
+        } else {
+            self.relative_latency.get()
+        };
+        relative.max(0.1) * warmup_factor
+    }
+
+    /// Whether other entry VMs are told of the server's load.
+    pub fn shares_load(&self) -> bool {
+        self.changes.borrow().is_some()
+    }
+
+    /// Requests in flight, of all entry VMs together, that the server takes well; from 1 to its
+    /// slots.
+    pub fn room(&self, now: Instant) -> f64 {
+        self.capacity.borrow().limit(now)
+    }
+
+    /// Expected time of a request that is sent now, of a kind that takes `average` at a server of
+    /// usual speed.
+    pub fn expected_time(&self, average: Duration, now: Instant) -> Duration {
+        let wait = ((self.load(now) + 1.0) / self.room(now)).max(1.0);
+        average.mul_f64((self.relative_latency(now) * wait).min(MAX_EXPECTED_RATIO))
+    }
+
+    /// Records a response: its time relative to others of its kind, and the load at the server
+    /// when it was sent.
+    pub fn record_latency(&self, latency: f64, load: f64) {
+        let now = clock::now();
+        self.capacity
+            .borrow_mut()
+            .record_response(latency, load, now);
+    }
+
+    /// Records that a response didn't arrive in time.
+    pub fn record_timeout(&self) {
+        self.capacity.borrow_mut().record_overload(clock::now());
     }
 
     /// Takes the average relative latency since the last call, if there were responses.
@@ -279,13 +322,17 @@
             self.other_load.set(other.max(0.0));
             self.load_reported_at.set(now);
             self.own_report.set(Some((load, now)));
+            let percent = load.percent.unwrap_or(0);
+            self.capacity.borrow_mut().record_percent(percent, now);
         }
     }
 
     /// Records a rejection for lack of capacity.
     pub fn record_full(&self, slots: u32) {
+        let now = clock::now();
         self.other_load.set(f64::from(slots) * 2.0);
-        self.load_reported_at.set(clock::now());
+        self.load_reported_at.set(now);
+        self.capacity.borrow_mut().record_overload(now);
     }
 
     /// Records that the server dropped a new connection unanswered, as it does with those over its
@@ -295,6 +342,7 @@
     /// and their new connections take the place of responses. The pauses differ at random, so that
     /// the VMs don't return all at once.
     pub fn record_overload(&self) {
+        self.capacity.borrow_mut().record_overload(clock::now());
         let pause = self.overload_pause.get().saturating_mul(2);
         let pause = pause.clamp(MIN_OVERLOAD_PAUSE, MAX_OVERLOAD_PAUSE);
         self.overload_pause.set(pause);
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -26,7 +26,7 @@
     pub not_executed: HeaderName,
     /// Marks the responses of a backend server that leaves.
     pub server_leaving: HeaderName,
-    /// Running and waiting requests and slots of a backend server.
+    /// Running and waiting requests, slots and, from some, time of work of a backend server.
     pub server_load: HeaderName,
     /// Key of a request.
     pub shard_key: HeaderName,
@@ -191,12 +191,14 @@
 }
 
 /// Load that a backend server reports in a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReportedLoad {
     /// Running requests.
     pub running: u32,
     /// Waiting requests.
     pub waiting: u32,
+    /// How long work takes now, in percent of what is usual.
+    pub percent: Option<u16>,
 }
 
 impl ReportedLoad {
@@ -217,9 +219,14 @@
         .split(',');
     // Malformed numbers count as no report, as the doc comment says.
     let mut next_number = || parts.next()?.trim().parse().ok();
+    let (running, waiting) = (next_number()?, next_number()?);
+    let (_slots, percent) = (next_number(), next_number());
     Some(ReportedLoad {
-        running: next_number()?,
-        waiting: next_number()?,
+        running,
+        waiting,
+        percent: percent
+            .filter(|p| *p > 0)
+            .map(|p: u32| u16::try_from(p).unwrap_or(u16::MAX)),
     })
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod backend_connection;
 pub mod budget;
 pub mod caller;
+pub mod capacity;
 pub mod control_poll;
 pub mod daemon;
 pub mod exchange;
--- a/src/gateway/peers/codec.rs
+++ b/src/gateway/peers/codec.rs
@@ -57,7 +57,7 @@
 pub struct AgedReport {
     /// Running and waiting requests.
     pub requests: u16,
-    /// How long work takes, in percent of what is usual.
+    /// How long work takes, in percent of what is usual; 0 if the server doesn't report it.
     pub percent: u16,
     /// Time since the report.
     pub age: Duration,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -223,6 +223,9 @@
                 let latency = self.relative_latency(backend, sent_at, load, failed);
                 let reported = head::reported_load(&response.headers, &self.gateway.header_names);
                 backend.record_response(latency, reported, failed);
+                if let Some(latency) = latency {
+                    backend.record_latency(latency, load);
+                }
                 if let Some(key) = self.key {
                     let mut routing = self.gateway.routing.borrow_mut();
                     routing.record_held(&self.service, key);
@@ -277,6 +280,7 @@
             }
             Outcome::TimedOut => {
                 log_attempt("timed_out", "no answer in time");
+                backend.record_timeout();
                 backend.record_failure(self.key.is_none());
                 attempts.may_have_run = true;
                 attempts.timed_out = true;
--- a/src/gateway/tests/head.rs
+++ b/src/gateway/tests/head.rs
@@ -71,6 +71,19 @@
     headers.insert("x-load", "3,1,8".parse().unwrap());
     let load = head::reported_load(&headers, &header_names()).unwrap();
     assert_eq!((load.running, load.waiting), (3, 1));
+    for (text, percent) in [
+        ("3,1,8", None),
+        ("3,1,8,250", Some(250)),
+        ("3, 1, 8, 70000", Some(u16::MAX)),
+        ("3,1,8,0", None),
+        ("3,1,8,-5", None),
+        ("3,1,8,x", None),
+        ("3,1,,120", Some(120)),
+    ] {
+        headers.insert("x-load", text.parse().unwrap());
+        let load = head::reported_load(&headers, &header_names()).unwrap();
+        assert_eq!((load.total(), load.percent), (4, percent), "{text}");
+    }
     headers.insert("x-load", "3".parse().unwrap());
     assert_eq!(head::reported_load(&headers, &header_names()), None);
     headers.insert("keep-alive", "max=5, timeout=7".parse().unwrap());
--- a/src/gateway/tests/load_model.rs
+++ b/src/gateway/tests/load_model.rs
@@ -48,6 +48,8 @@
     pub(super) loss: f64,
     /// Whether VMs report to each other.
     pub(super) shares_load: bool,
+    /// Whether servers report how long work takes.
+    pub(super) reports_percent: bool,
 }
 
 /// Result of a replay.
@@ -356,6 +358,13 @@
         ReportedLoad {
             running: model.running,
             waiting: count(&model.queue),
+            percent: self.pattern.reports_percent.then(|| {
+                if self.slowness(server) > 1.0 {
+                    300
+                } else {
+                    100
+                }
+            }),
         }
     }
 
@@ -391,6 +400,7 @@
             average.set(average.get() * 0.95 + unloaded * 0.05);
             let relative = (unloaded / average.get().max(0.001)).min(8.0);
             backend.record_response(Some(relative), Some(load), false);
+            backend.record_latency(relative, request.load);
             let taken = self.now.saturating_sub(request.arrived).as_secs_f64();
             if taken <= self.pattern.target_ms / 1000.0 {
                 self.outcome.in_time += 1;
--- a/src/gateway/tests/load_replay.rs
+++ b/src/gateway/tests/load_replay.rs
@@ -19,6 +19,7 @@
         crowding: 0.0,
         loss: 0.01,
         shares_load: true,
+        reports_percent: false,
     }
 }
 
@@ -122,3 +123,28 @@
     println!("datagrams a VM and second at 28 and 100 VMs of the zone: {figures:?}");
     assert!(figures.iter().all(|f| *f < 24.0 * 25.0));
 }
+
+/// Guards against a reported slow period that is noticed only when the request is late.
+#[test]
+fn reported_slowness_is_avoided_at_once() {
+    let (alone, shared) = compare(&Pattern {
+        reports_percent: true,
+        ..large()
+    });
+    let unreported = Replay::run(&large(), 1);
+    assert!(shared.share_in_time() > alone.share_in_time() + 0.02);
+    assert!(shared.share_in_time() > unreported.share_in_time() + 0.02);
+}
+
+/// Guards against servers that are filled although they slow down long before they are full.
+#[test]
+fn servers_that_slow_down_before_they_are_full_are_not_filled() {
+    let (alone, shared) = compare(&Pattern {
+        crowding: 0.4,
+        slow_share: 0.0,
+        ..large()
+    });
+    assert!(shared.share_in_time() >= alone.share_in_time());
+    assert!(shared.mean_met < alone.mean_met * 0.85);
+    assert!(shared.most_loaded < alone.most_loaded);
+}
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,5 +1,6 @@
 mod backend;
 mod budget;
+mod capacity;
 mod connections;
 mod copies;
 mod copy_model;
--- a/src/gateway/tests/peers.rs
+++ b/src/gateway/tests/peers.rs
@@ -215,6 +215,7 @@
     let load = ReportedLoad {
         running: 2,
         waiting: 3,
+        percent: None,
     };
     clock::advance(Duration::from_millis(10));
     backends[0].record_response(None, Some(load), false);
--- a/src/gateway/tests/selection.rs
+++ b/src/gateway/tests/selection.rs
@@ -51,6 +51,7 @@
     let load = ReportedLoad {
         running: 2,
         waiting: 2,
+        percent: None,
     };
     backends[0].record_response(None, Some(load), false);
     assert_eq!(selected(&backends).as_deref(), Some("b"));
