--- a/src/gateway/tests/load_model.rs
+++ b/src/gateway/tests/load_model.rs
@@ -147,6 +147,13 @@
         replay.outcome
     }
 
+    /// Number of servers whose load the first entry VM exchanges with others.
+    pub(super) fn shared_count(pattern: &Pattern) -> usize {
+        let replay = Self::new(pattern.clone(), 1);
+        let first = replay.vms.first().unwrap();
+        first.routing.peers.shared_count()
+    }
+
     fn new(pattern: Pattern, seed: u64) -> Self {
         let mut random = fastrand::Rng::with_seed(seed);
         let servers: Vec<_> = (0..pattern.servers)
--- a/src/gateway/tests/load_replay.rs
+++ b/src/gateway/tests/load_replay.rs
@@ -50,6 +50,21 @@
     (alone, shared)
 }
 
+/// Guards against messages and another selection in deployments that don't need them.
+#[test]
+fn load_is_exchanged_only_without_keys_and_between_more_vms_than_slots() {
+    assert_eq!(Replay::shared_count(&large()), 12);
+    let few_vms = Pattern { vms: 6, ..large() };
+    assert_eq!(Replay::shared_count(&few_vms), 0);
+    let one_more = Pattern { vms: 7, ..large() };
+    assert!(Replay::shared_count(&one_more) > 0);
+    let keyed = Pattern {
+        shares_load: false,
+        ..large()
+    };
+    assert_eq!(Replay::shared_count(&keyed), 0);
+}
+
 /// Guards against servers that queue while others that the VM prefers are idle.
 #[test]
 fn even_servers_are_filled_evenly() {
