Gateway: a deadline that ends before a request was sent says nothing about the server

Cause: a request whose time ended while its connection was set up counted as an unreachable server, so short deadlines put servers into backoff.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -44,6 +44,9 @@
     body_bytes: u64::MAX >> 1,
 };
 
+/// Reason of [`Outcome::NotSent`] if the deadline ended before the request was sent.
+pub(super) const NO_TIME_LEFT: &str = "no time left";
+
 /// Interim responses that are skipped before a response.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
@@ -146,7 +149,7 @@
     let outcome = match time::timeout(left, exchange).await {
         Ok(outcome) => outcome,
         Err(_) if sent_on.get().is_some() => Outcome::TimedOut,
-        Err(_) => Outcome::NotSent("no time left"),
+        Err(_) => Outcome::NotSent(NO_TIME_LEFT),
     };
     let outcome = match (outcome, attempt.relay) {
         (Outcome::Dropped, Some(hop)) if !hop.is_answered() => {
--- a/src/gateway/relayed.rs
+++ b/src/gateway/relayed.rs
@@ -153,7 +153,7 @@
             ..direct
         };
         self.wait_until_warm(backend).await?;
-        let sent = SentAttempt::new(Rc::clone(backend));
+        let attempted = SentAttempt::new(Rc::clone(backend));
         let body = RequestBody::Full(body.clone());
         let mut result = exchange::exchange(backend, &attempt, body).await;
         if let Outcome::Responded(response) = &mut result.outcome {
@@ -162,7 +162,10 @@
                 streaming.seat = Some(seat);
             }
         }
-        Ok(SendResult { result, sent })
+        Ok(SendResult {
+            result,
+            sent: attempted,
+        })
     }
 
     /// Waits until a cold server may get the next request.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -160,12 +160,11 @@
             if attempts.sent > 0 && !self.try_retry(&attempts) {
                 return self.give_up(attempts);
             }
-            let response = match self.key {
-                Some(_) => self.send_to_owner(backend, &body, &mut attempts).await,
-                None => {
-                    let sent = SentAttempt::new(backend);
-                    self.send_hedged(&sent, &body, &mut attempts).await
-                }
+            let response = if self.key.is_some() {
+                self.send_to_owner(backend, &body, &mut attempts).await
+            } else {
+                let sent = SentAttempt::new(backend);
+                self.send_hedged(&sent, &body, &mut attempts).await
             };
             if let Some(response) = response {
                 return response;
@@ -404,7 +403,10 @@
             }
             Outcome::NotSent(reason) => {
                 log_attempt("not_sent", reason);
-                backend.record_unreachable();
+                // A deadline that ends while the connection is set up says nothing about the server.
+                if reason != exchange::NO_TIME_LEFT {
+                    backend.record_unreachable();
+                }
                 attempts.connect_failures += 1;
                 attempts.rejections = Rejections::Other;
             }
