--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -657,9 +657,10 @@
     }
 }
 
+/// Below the usual level, as another writer may repeat such a heartbeat for as long as it likes.
 fn log_ignored(heartbeat: &Heartbeat) {
     let incarnation = heartbeat.incarnation();
-    ::log::info!(
+    ::log::debug!(
         "event=fleet.heartbeat_ignored server={:?} born={} service={:?}",
         incarnation.server,
         incarnation.start_ms,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -13,6 +13,7 @@
 
 use super::caller::Origin;
 use super::control_poll::{self, Seeds};
+use super::relay::MAX_PEER_CONNECTIONS;
 use super::{Gateway, HeaderNames, caller, peers};
 use crate::clock;
 use crate::fleet::{Vm, VmRole};
@@ -34,9 +35,6 @@
 /// Limit of open caller connections, well below the process's file descriptor limit.
 const MAX_CALLER_CONNECTIONS: usize = 2500;
 
-/// Limit of open connections of other entry VMs; they count as callers' too.
-const MAX_PEER_CONNECTIONS: usize = 600;
-
 /// Share of the grace period that requests in flight get: after five sixths of it they may
 /// be abandoned, and the responses queued behind them still have to be sent.
 const REQUEST_GRACE_RATIO: f64 = 0.86;
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -33,6 +33,9 @@
     pub shard_key: HeaderName,
 }
 
+/// Longest idle timeout that is taken from a response; no idle connection is kept for longer.
+const MAX_KEEP_ALIVE: Duration = Duration::from_mins(10);
+
 /// Headers that apply to a single connection.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     header::CONNECTION,
@@ -166,6 +169,16 @@
     }
 }
 
+/// Removes the headers that apply to a single connection.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    for name in connection_headers(headers) {
+        headers.remove(name.as_str());
+    }
+    for name in &HOP_BY_HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
 /// Lists the headers that the `Connection` header declares hop-by-hop.
 fn connection_headers(headers: &HeaderMap) -> Vec<String> {
     let values = headers.get_all(header::CONNECTION).iter();
@@ -238,5 +251,6 @@
     let timeout = value
         .split(',')
         .find_map(|p| p.trim().strip_prefix("timeout="));
-    timeout?.trim().parse().ok().map(Duration::from_secs)
+    let secs: u64 = timeout?.trim().parse().ok()?;
+    Some(Duration::from_secs(secs).min(MAX_KEEP_ALIVE))
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -67,6 +67,9 @@
 /// Connections of this VM to one relay VM that are kept.
 pub const MAX_HOP_CONNECTIONS: u32 = 16;
 
+/// Limit of open connections of other entry VMs at a relay VM; they count as callers' too.
+pub const MAX_PEER_CONNECTIONS: u32 = 600;
+
 /// Bytes that the headers of a hop may add to the head of a request.
 pub const HOP_HEAD_BYTES: usize = 1 << 10;
 
@@ -269,7 +272,7 @@
     /// Queues of the servers that this VM is the relay VM of.
     pub queues: SeatQueues,
     /// Open connections of other entry VMs.
-    pub peer_connections: Cell<usize>,
+    pub peer_connections: Cell<u32>,
     peers: RefCell<HashMap<SocketAddr, Peer>>,
     /// Services whose requests compete, and the table that says so.
     competing: RefCell<(Option<Arc<table::Table>>, HashSet<ids::ServiceName>)>,
--- a/src/gateway/relayed.rs
+++ b/src/gateway/relayed.rs
@@ -13,7 +13,10 @@
 use super::backend::Backend;
 use super::exchange::{self, Attempt, AttemptResult, Outcome, RequestBody};
 use super::head::{self, ForwardedHead};
-use super::relay::{Choice, HopResult, MAX_HOP_CONNECTIONS, RELAY_HEADER, RELAY_VERSION, Reason};
+use super::relay::{
+    Choice, HopResult, MAX_HOP_CONNECTIONS, MAX_PEER_CONNECTIONS, RELAY_HEADER, RELAY_VERSION,
+    Reason,
+};
 use super::request::{self as routed, OWNER_EVACUATION_RATIO, RoutedRequest, SentAttempt};
 use super::response::{BackendResponse, Response, ResponseBody};
 use super::seats::SeatRequest;
@@ -46,7 +49,9 @@
         backend: &Backend,
     ) -> bool {
         let relay = &self.gateway.relay;
-        self.key.is_some() && relay.is_enabled(routing, &self.service, backend)
+        self.key.is_some()
+            && !self.is_direct.get()
+            && relay.is_enabled(routing, &self.service, backend)
     }
 
     /// Sends a request, through the relay VM of its owner if there is one.
@@ -61,8 +66,7 @@
     ) -> Result<SendResult, Duration> {
         let choices = {
             let routing = self.gateway.routing.borrow();
-            let enabled = !self.relay_failed.get() && self.is_to_relay(&routing, &backend);
-            enabled.then(|| {
+            self.is_to_relay(&routing, &backend).then(|| {
                 let relay = &self.gateway.relay;
                 relay.choices(&routing, &backend, clock::now())
             })
@@ -75,7 +79,7 @@
             };
             let attempt = Attempt {
                 relay: Some(&hop),
-                max_connections: MAX_HOP_CONNECTIONS,
+                max_connections: self.max_hop_connections(),
                 ..self.attempt()
             };
             let sent = SentAttempt::new(Rc::clone(&backend));
@@ -93,7 +97,7 @@
                 }
                 HopResult::Failed => {
                     self.gateway.relay.record_failure(&hop, now);
-                    self.relay_failed.set(true);
+                    self.is_direct.set(true);
                 }
                 HopResult::Completed if hop.is_answered() => {
                     self.gateway.relay.record_success(&hop);
@@ -116,6 +120,13 @@
         Ok(SendResult { result, sent })
     }
 
+    /// Limit of this VM's connections to one relay VM, of those that a relay VM takes from all.
+    fn max_hop_connections(&self) -> u32 {
+        let routing = self.gateway.routing.borrow();
+        let share = MAX_PEER_CONNECTIONS / routing.entry_vm_count();
+        share.clamp(1, MAX_HOP_CONNECTIONS)
+    }
+
     /// Waits in the queue of a server and sends the request to it.
     async fn send_queued(
         &self,
@@ -153,6 +164,10 @@
             ..direct
         };
         self.wait_until_warm(backend).await?;
+        // The evacuation may have begun while the request waited.
+        if self.is_evacuated(backend) {
+            return Err(DIRECT_RETRY_AFTER);
+        }
         let attempted = SentAttempt::new(Rc::clone(backend));
         let body = RequestBody::Full(body.clone());
         let mut result = exchange::exchange(backend, &attempt, body).await;
@@ -168,6 +183,12 @@
         })
     }
 
+    /// Whether the owner gets no more requests, as its zone is evacuated.
+    fn is_evacuated(&self, backend: &Backend) -> bool {
+        let grace = self.gateway.evacuation.get();
+        backend.is_evacuated(grace.mul_f64(OWNER_EVACUATION_RATIO), clock::now())
+    }
+
     /// Waits until a cold server may get the next request.
     async fn wait_until_warm(&self, backend: &Backend) -> Result<(), Duration> {
         loop {
@@ -234,7 +255,7 @@
             arrived_at,
             deadline: arrived_at + timeout.min(route.timeout),
             is_from_peer: true,
-            relay_failed: Cell::new(false),
+            is_direct: Cell::new(false),
         };
         Ok((request, Rc::clone(backend)))
     }
@@ -261,6 +282,8 @@
         };
         let reason = match &result.outcome {
             Outcome::Responded(_) | Outcome::Full(_) | Outcome::Misdirected => Reason::Answered,
+            // The sender's deadline ends at the same moment, and the server is not to blame.
+            Outcome::NotSent(exchange::NO_TIME_LEFT) => Reason::Queue,
             Outcome::NotSent(_) => Reason::NotSent,
             Outcome::Dropped => Reason::Dropped,
             Outcome::Interrupted(_) => Reason::Broken,
@@ -275,8 +298,16 @@
         };
         match answered {
             Some(mut response) if reason == Reason::Answered => {
+                head::remove_hop_by_hop(&mut response.headers);
                 let value = HeaderValue::from_static(reason.as_str());
                 response.headers.insert(RELAY_HEADER, value);
+                // A response without the id is accepted on a new connection only, which this was.
+                let names = &gateway.header_names;
+                if let Some(id) = id.filter(|_| !response.headers.contains_key(&names.request_id)) {
+                    response
+                        .headers
+                        .insert(names.request_id.clone(), id.clone());
+                }
                 Response::Backend(response)
             }
             // A rejection whose head was not kept proves nothing.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -85,8 +85,9 @@
     pub(super) deadline: Instant,
     /// Whether another entry VM has sent the request to this one as the relay VM.
     pub(super) is_from_peer: bool,
-    /// Whether a relay VM failed while it had the request, so that a retry goes directly.
-    pub(super) relay_failed: Cell<bool>,
+    /// Whether the request goes to the owner of its key without a relay VM: its body is streamed, or a
+    /// relay VM failed while it had the request.
+    pub(super) is_direct: Cell<bool>,
 }
 
 impl RoutedRequest {
@@ -138,7 +139,7 @@
             arrived_at,
             deadline: arrived_at + timeout.min(route.timeout),
             is_from_peer: false,
-            relay_failed: Cell::new(false),
+            is_direct: Cell::new(false),
         })
     }
 
@@ -292,6 +293,8 @@
     /// Runs a request whose body is still arriving; it can't be retried once sent.
     pub async fn stream(self, mut source: BodySource<'_>) -> Response {
         self.record_request();
+        // A relay VM takes complete bodies only.
+        self.is_direct.set(true);
         let mut attempts = Attempts::default();
         let backend = match self.select_backend(&attempts).await {
             Ok(backend) => backend,
--- a/src/gateway/seat_queue.rs
+++ b/src/gateway/seat_queue.rs
@@ -63,10 +63,7 @@
             let new = || Rc::new(SeatQueue::new(limit, now));
             Rc::clone(queues.entry(incarnation).or_insert_with(new))
         };
-        queue.seats.borrow_mut().set_limit(limit);
-        let pace = backend.limiter().borrow().relay_interval(now);
-        queue.seats.borrow_mut().set_pace(pace);
-        queue.acquire(request).await
+        queue.acquire(backend, request).await
     }
 
     /// Forgets queues that have not been used for a while.
@@ -98,11 +95,24 @@
         }
     }
 
-    async fn acquire(self: &Rc<Self>, request: SeatRequest) -> Result<SeatGuard, Duration> {
+    /// Follows what the server takes now.
+    fn update(&self, backend: &Backend, now: Instant) {
+        let pace = backend.limiter().borrow().relay_interval(now);
+        let mut seats = self.seats.borrow_mut();
+        seats.set_limit(limit(backend, now));
+        seats.set_pace(pace);
+    }
+
+    async fn acquire(
+        self: &Rc<Self>,
+        backend: &Backend,
+        request: SeatRequest,
+    ) -> Result<SeatGuard, Duration> {
         let last_place_at = Seats::last_place_at(&request);
         let deadline = request.deadline;
         let now = clock::now();
         self.used_at.set(now);
+        self.update(backend, now);
         let id = self.seats.borrow_mut().arrive(request, now);
         let (sender, receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(id, sender);
@@ -132,7 +142,11 @@
                 }
                 Ok(Ok(Decision::Refuse(after))) => return Err(after),
                 Ok(Err(_)) => return Err(RECHECK_INTERVAL),
-                Err(_) => self.decide(clock::now()),
+                Err(_) => {
+                    let now = clock::now();
+                    self.update(backend, now);
+                    self.decide(now);
+                }
             }
         }
     }
--- a/src/gateway/tests/evacuation.rs
+++ b/src/gateway/tests/evacuation.rs
@@ -6,11 +6,12 @@
 
 use super::mock::{Action, Fixture, MockBackend, header, owned_ranges, status_code};
 use crate::clock;
-use crate::fleet::Server;
 use crate::fleet::evacuation::ZoneEvacuation;
 use crate::fleet::updates::Updates;
+use crate::fleet::{Server, Vm, VmRole};
 use crate::gateway::backend::Backend;
 use crate::runtime;
+use crate::table;
 
 const OK: Action =
     Action::Send("HTTP/1.1 200 OK\nx-request: ID\nx-signature: s\ncontent-length: 2\n\nok");
@@ -57,6 +58,35 @@
     }
 }
 
+/// Limits the requests to cold servers of the service `plain`.
+fn limit_cold_servers(fixture: &Fixture) {
+    let mut routing = fixture.gateway.routing.borrow_mut();
+    routing.local_vm = Some(Vm {
+        name: "entry".into(),
+        zone: "near".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        role: VmRole::Entry,
+    });
+    let mut service = table::Service::clone(routing.service("plain").unwrap());
+    service.warmup = Some(table::Warmup {
+        duration: WARMUP,
+        requests_per_sec: 4.0,
+    });
+    let update = table::Update {
+        version: 2,
+        full: false,
+        patch: table::Patch {
+            services: vec![Arc::new(service)],
+            ..table::Patch::default()
+        },
+    };
+    routing.apply(Updates {
+        index: 2,
+        table: Some(update),
+        ..Updates::default()
+    });
+}
+
 fn named(fixture: &Fixture, name: &str) -> Rc<Backend> {
     let routing = fixture.gateway.routing.borrow();
     let mut backends = routing.all_backends();
@@ -120,9 +150,12 @@
     runtime::run(async {
         let inside = backend();
         let fixture = Fixture::new(&[&inside]);
-        let updates = with_server(2, "plain", "near", &inside);
+        limit_cold_servers(&fixture);
+        let updates = with_server(3, "plain", "near", &inside);
         fixture.gateway.routing.borrow_mut().apply(updates);
         let server = named(&fixture, "plain-near");
+        assert!(server.is_cold(clock::now()), "the server said so");
+        clock::advance(WARMUP);
         assert!(!server.is_cold(clock::now()));
         // The start was missed.
         apply(&fixture, 4, false);
--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -19,6 +19,11 @@
 /// Bounds of the requests per second of a cold server, so that intervals can be computed.
 const RATE_BOUNDS: (f64, f64) = (0.001, 1e6);
 
+/// Half of the bound of a cold server, `1.5 x rate + 8` in any second: two views of the list of entry
+/// VMs that differ may permit twice the requests.
+const DIFFERING_VIEWS_RATIO: f64 = 0.75;
+const DIFFERING_VIEWS_EXTRA: f64 = 4.0;
+
 /// Longest time for which a report makes a server cold, so that no report limits it for good.
 const MAX_COLD: Duration = Duration::from_mins(1);
 
@@ -76,7 +81,10 @@
 
     fn rate(&self) -> f64 {
         let (least, most) = RATE_BOUNDS;
-        self.limit.requests_per_sec.clamp(least, most)
+        let tolerated = self.limit.requests_per_sec;
+        tolerated
+            .min(tolerated * DIFFERING_VIEWS_RATIO + DIFFERING_VIEWS_EXTRA)
+            .clamp(least, most)
     }
 
     /// Whether this VM is one of the permitted senders.
--- a/src/log/membership.rs
+++ b/src/log/membership.rs
@@ -378,14 +378,20 @@
 }
 
 /// Removes the lost voter of a VM once the new replica has all committed entries.
+///
+/// At most one voter is removed, so that the majorities before and after overlap.
 pub(super) fn without_replaced(state: &State, membership: &Membership, replica: &Replica) -> Edit {
     if !has_caught_up(state, replica) {
         return wait_or_abort(membership, replica);
     }
     let mut membership = membership.clone();
-    membership
-        .replicas
-        .retain(|r| r.vm != replica.vm || r.id == replica.id);
+    let mut voters_removed = 0;
+    membership.replicas.retain(|r| {
+        let is_lost = r.vm == replica.vm && r.id != replica.id;
+        let removes = is_lost && (!r.voter || voters_removed == 0);
+        voters_removed += u32::from(removes && r.voter);
+        !removes
+    });
     Edit::Apply(membership)
 }
 
