--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -1,7 +1,6 @@
 //! Entry daemon of a fleet.
 
 use std::cell::RefCell;
-use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use monoio::net::TcpListener;
+use monoio::net::{TcpListener, TcpStream};
 
 use super::caller::Origin;
 use super::control_poll::{self, Seeds};
@@ -93,13 +92,7 @@
 /// Accepts caller connections for as long as the process runs.
 async fn accept_callers(listener: TcpListener, gateway: Rc<Gateway>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                handle_accept_error(&error).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         if gateway.stop.open_count() >= MAX_CALLER_CONNECTIONS {
             log::warn!("event=gateway.crowded open={}", gateway.stop.open_count());
             continue;
@@ -117,13 +110,7 @@
 /// Accepts connections of other entry VMs, whose requests this VM relays.
 async fn accept_peers(listener: TcpListener, gateway: Rc<Gateway>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                handle_accept_error(&error).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let open = &gateway.relay.peer_connections;
         let is_crowded = gateway.stop.open_count() >= MAX_CALLER_CONNECTIONS;
         if is_crowded || open.get() >= MAX_PEER_CONNECTIONS {
@@ -147,9 +134,17 @@
     }
 }
 
-async fn handle_accept_error(error: &io::Error) {
-    log::warn!("event=gateway.accept error={:?}", error.to_string());
-    monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
+/// Accepts a connection, after a delay if that fails.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                log::warn!("event=gateway.accept error={:?}", error.to_string());
+                monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
 }
 
 /// Answers the load balancer's readiness checks.
