Owner queues: only where an urgent target is a quarter of another one's; patience with lossy links

Change: a relay VM may be silent for 2.5 s. Requests are relayed where a more urgent rank has at most a quarter of another rank's latency target, or the service warms up.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 //! queue of the relay VM is in [`super::seat_queue`].
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +38,10 @@
 /// sees enough of a server's requests.
 const MIN_VMS_PER_SLOT: u32 = 4;
 
+/// Latency target of a more urgent rank, as a part of that of another one, up to which their requests
+/// are ordered: an urgent request that waits for one long one has then missed its target.
+const MAX_TARGET_RATIO: f64 = 0.25;
+
 /// Entry VMs above which requests are not relayed: each may keep a connection to each relay VM, and a
 /// relay VM has descriptors for 600 of them.
 const MAX_VMS: u32 = 500;
@@ -51,8 +55,9 @@
 /// Longest such pause.
 const MAX_SKIP: Duration = Duration::from_secs(16);
 
-/// How long a relay VM may send nothing while it has a request.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a relay VM may send nothing while it has a request. On a link that loses packets, two lost
+/// ones in a row delay what follows by 0.8 s, and a request that is given up then may be running.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Interval at which a relay VM tells that a request is still under way.
 pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
@@ -402,17 +407,29 @@
     chosen
 }
 
-/// Services with keys that are reached by routes of at least two ranks, or that warm up.
+/// Services with keys whose urgent requests would wait behind much longer ones, or that warm up.
 fn competing_services(table: &table::Table) -> HashSet<ids::ServiceName> {
-    let mut ranks: HashMap<&ids::ServiceName, BTreeSet<table::model::Rank>> = HashMap::new();
+    // Shortest and longest latency target of each rank.
+    let mut targets: HashMap<
+        &ids::ServiceName,
+        BTreeMap<table::model::Rank, (Duration, Duration)>,
+    > = HashMap::new();
     for route in &table.routes {
+        let target = route.latency_target;
         for service in route.services() {
-            ranks.entry(service).or_default().insert(route.rank);
+            let ranks = targets.entry(service).or_default();
+            let (shortest, longest) = ranks.entry(route.rank).or_insert((target, target));
+            *shortest = target.min(*shortest);
+            *longest = target.max(*longest);
         }
     }
     let competes = |service: &&Arc<table::Service>| {
-        let ranks = ranks.get(&service.name).map_or(0, BTreeSet::len);
-        service.sharded && (ranks > 1 || service.warmup.is_some())
+        let ranks = || targets.get(&service.name).into_iter().flatten();
+        let mut pairs = ranks().flat_map(|urgent| ranks().map(move |other| (urgent, other)));
+        let competing = pairs.any(|((urgent, (shortest, _)), (other, (_, longest)))| {
+            urgent < other && *shortest <= longest.mul_f64(MAX_TARGET_RATIO)
+        });
+        service.sharded && (service.warmup.is_some() || competing)
     };
     let services = table.services.iter().filter(competes);
     services.map(|s| Arc::clone(&s.name)).collect()
