--- a/review/8/case.py
+++ b/review/8/case.py
@@ -29,7 +29,7 @@
 SLOWER, SLOW_S = 12.0, 9.0
 
 # Requests a second for all keys; the instances can work on 44.
-RATE = 36.0
+RATE = 38.0
 
 # Bound `drain` of the site.
 DRAIN_S = 2.0
@@ -60,7 +60,9 @@
         if DISRUPTED:
             x.work_s *= SLOWER
             record.line("slow", f"{x.name} works {SLOWER} times as long")
-        time.sleep(1.5)
+        before = len(x.runs)
+        wait_until("work at all slots", lambda: len(x.runs) >= before + SLOTS)
+        time.sleep(1.2)
         x.beating = False
         wait_until("acknowledgement of the leave", lambda: x.leave(x.beat_at))
         left = time.monotonic()
@@ -81,7 +83,7 @@
     while not stopped.is_set():
         sent += 1
         entry = deployment.entries[sent % len(deployment.entries)]
-        kind = "entitle" if sent % 8 == 0 else "audit"
+        kind = "entitle" if sent % 20 == 0 else "audit"
         threading.Thread(
             target=request, args=(deployment, entry, sent, kind, drawn.randrange(65536)), daemon=True
         ).start()
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -17,6 +17,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "release", "agateyoke-platform")
@@ -262,6 +263,10 @@
         record.line("unable", str(error))
         print(f"could not run: {error}")
         sys.exit(UNABLE)
+    except Exception as error:
+        record.line("unable", f"{type(error).__name__}: {error}")
+        traceback.print_exc()
+        sys.exit(UNABLE)
     timer.cancel()
     record.line("result", "the rule held" if held else "the rule was broken")
     print("the rule held" if held else "the rule was broken")
