--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,12 +1,13 @@
-"""An instance that holds keys turns slow, requests for it queue up, and it leaves.
+"""A machine of the core freezes with an order of the operator unread, and wakes after later orders.
 
-Eight instances share the keys. Instance `x` works twelve times as long (only with trouble), so that
-requests for its keys wait in the queue that an entry machine keeps for it. Then `x` leaves in the
-abrupt way: it says so, the leave is acknowledged, and it goes on serving for a while.
+Zone `b` is evacuated, taken back and evacuated again. The order that takes it back goes first to a
+machine that is frozen (only with trouble); after a second without a response the operator sends it
+to another machine, which acknowledges it. The second evacuation is acknowledged as well. Then the
+frozen machine wakes.
 """
 
 import os
-import random
+import signal
 import threading
 import time
 
@@ -15,96 +16,94 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 
-# Two classes of different rank at one service, as at `ledger`; the less urgent one has the aim of
-# `hygiene-log` on the page large/LATER.md and half of its deadline as the route's timeout.
 ROUTES = [
-    ["audit", "seats.example", "/audit/", "safe", "12500ms", "6000ms", 2, "ledger", 2],
-    ["entitle", "seats.example", "/entitle/", "safe", "800ms", "200ms", 1, "ledger", 2],
+    ["avail", "cars.example", "/avail/", "safe", "2000ms", "800ms", 2, "fleet-lookup", 2],
+    ["notes", "cars.example", "/notes/", "safe", "5000ms", "4000ms", 2, "station-notes", 2],
 ]
-SERVICES = [["ledger", "/health", 610, "h1", False, True, "3000ms", "heartbeat"]]
+SERVICES = [
+    ["fleet-lookup", "/health", 560, "h1", False, None, None, None],
+    ["station-notes", "/health", 560, "h1", False, True, "5000ms", "heartbeat"],
+]
+
+# Bounds `evacuation` and `contactWindow` of the site.
+EVACUATION_S, TOUCH_S = 5.0, 3.0
+
+# How long requests are watched after the bound.
+WATCHED_S = 4.0
 
-INSTANCES, SLOTS, WORK_S = 8, 2, 0.36
+ZONE = "b"
 
-# Disruption `srv_slow`: one of the instances, this many times as long, for so many seconds.
-SLOWER, SLOW_S = 12.0, 9.0
 
-# Requests a second for all keys; the instances can work on 44.
-RATE = 38.0
+class Clients:
+    """Sends requests one after the other."""
 
-# Bound `drain` of the site.
-DRAIN_S = 2.0
+    def __init__(self, record, entry, number):
+        self.record, self.entry, self.number, self.stopped = record, entry, number, False
+        threading.Thread(target=self.work, daemon=True).start()
+
+    def work(self):
+        sent = 0
+        while not self.stopped:
+            sent += 1
+            request_id = f"{self.number:08x}{sent:08x}"
+            headers = {
+                "Host": "cars.example",
+                "Request-Id": request_id,
+                "Deadline-Milliseconds": "2000",
+            }
+            answer = call(self.entry.address("callers"), "GET", "/avail/1", headers, timeout=2.5)
+            status = answer and answer[0]
+            self.record.line("client", f"{request_id} by {self.entry.name} -> {status}")
+            time.sleep(0.02)
 
 
 def case(record):
-    # More than four entry machines for each slot: the requests for an instance's keys go through
-    # the queue of one of them.
-    with Deployment(record, ["a", "b", "c"], ["a", "b", "c"] * 3) as deployment:
+    with Deployment(record, ["a", "b", "c"], ["a", "b"]) as deployment:
         deployment.configure(ROUTES, SERVICES)
-        x, *others = (
-            Instance(
-                deployment, f"i-{n}", "ledger", "abc"[n % 3], SLOTS, sharded=True, work_s=WORK_S
-            )
-            for n in range(INSTANCES)
-        )
-        for instance in (x, *others):
+        instances = [Instance(deployment, f"i-{z}", "fleet-lookup", z) for z in "ab"]
+        # The responses to the heartbeats of an instance that holds keys name the leader.
+        notes = Instance(deployment, "i-notes", "station-notes", "c", sharded=True)
+        for instance in [*instances, notes]:
             instance.start_beats()
+        evacuated = instances[1]
         deployment.wait_ready()
-        share = 65536 // INSTANCES
-        wait_until(
-            "keys at all", lambda: all(i.key_count() > share // 2 for i in (x, *others))
-        )
-        stopped = threading.Event()
-        threading.Thread(target=clients, args=(deployment, stopped), daemon=True).start()
-        time.sleep(4.0)
-        slow_until = time.monotonic() + SLOW_S
+        clients = [Clients(record, entry, n) for n, entry in enumerate(deployment.entries)]
+        for instance in instances:
+            wait_until(f"requests at {instance.name}", lambda i=instance: runs_since(i, 0.0))
+        wait_until("keys at i-notes", lambda: notes.key_count() == 65536)
+        leader = next(m for m in deployment.controls if m.ip == notes.beat_at[0])
+        record.line("leader", leader.name)
+        frozen, working = [m for m in deployment.controls if m is not leader]
+
+        start, finish = f"evacuation.start&of={ZONE}", f"evacuation.finish&of={ZONE}"
+        deployment.order(start, first=working)
+        time.sleep(3.0)
         if DISRUPTED:
-            x.work_s *= SLOWER
-            record.line("slow", f"{x.name} works {SLOWER} times as long")
-        before = len(x.runs)
-        wait_until("work at all slots", lambda: len(x.runs) >= before + SLOTS)
-        time.sleep(1.2)
-        x.beating = False
-        wait_until("acknowledgement of the leave", lambda: x.leave(x.beat_at))
-        left = time.monotonic()
-        time.sleep(slow_until - left)
-        x.work_s = WORK_S
+            frozen.signal(signal.SIGSTOP)
+            time.sleep(0.2)
+        deployment.order(finish, first=frozen)
+        time.sleep(1.0)
+        deployment.order(start, first=working)
+        acknowledged = time.monotonic()
         time.sleep(1.0)
-        stopped.set()
-        late = [r for r in x.runs if r[0] > left + DRAIN_S]
-        for at, request_id, path in late:
-            record.line("late", f"{request_id} {path} reached {x.name} {at - left:.3f} s after the leave")
-        record.line("judged", f"{len(late)} requests ran at {x.name} later than {DRAIN_S} s after it left")
-        return not late
-
-
-def clients(deployment, stopped):
-    sent = 0
-    drawn = random.Random()
-    while not stopped.is_set():
-        sent += 1
-        entry = deployment.entries[sent % len(deployment.entries)]
-        kind = "entitle" if sent % 20 == 0 else "audit"
-        threading.Thread(
-            target=request, args=(deployment, entry, sent, kind, drawn.randrange(65536)), daemon=True
-        ).start()
-        time.sleep(drawn.uniform(0.5, 1.5) / RATE)
-
-
-def request(deployment, entry, number, kind, key):
-    deadline = 25000 if kind == "audit" else 800
-    headers = {
-        "Host": "seats.example",
-        "Request-Id": f"{number:016x}",
-        "Deadline-Milliseconds": str(deadline),
-        "Shard-Key": str(key),
-    }
-    sent = time.monotonic()
-    answer = call(
-        entry.address("callers"), "GET", f"/{kind}/1", headers, timeout=deadline / 1000 + 0.5
-    )
-    status = answer and answer[0]
-    text = f"{number:016x} {kind} key {key} by {entry.name}, sent {time.monotonic() - sent:.3f} s ago"
-    deployment.record.line("client", f"{text} -> {status}")
+        if DISRUPTED:
+            frozen.signal(signal.SIGCONT)
+        woken = time.monotonic()
+        # All machines are in touch `contactWindow` after the machine woke.
+        judged = max(acknowledged + EVACUATION_S, woken + TOUCH_S)
+        time.sleep(judged + WATCHED_S - time.monotonic())
+        for client in clients:
+            client.stopped = True
+        late = runs_since(evacuated, judged)
+        record.line("judged", f"{late} requests reached zone {ZONE} from {judged - record.started:.3f} s on")
+        others = runs_since(instances[0], judged)
+        record.line("judged", f"{others} requests reached the other zone meanwhile")
+        return late == 0
+
+
+def runs_since(instance, since):
+    with instance.lock:
+        return sum(1 for run_at, *_ in instance.runs if run_at >= since)
 
 
 run(FOLDER, case)
--- a/review/standins-2/instance.py
+++ b/review/standins-2/instance.py
@@ -110,7 +110,8 @@
             self.record.line("beat", f"{text} -> {answer[2].decode()}")
             self.take(response, sent, body)
         else:
-            self.record.line("beat", f"{text} -> {status}")
+            size = f", {len(answer[2])} bytes" if answer else ""
+            self.record.line("beat", f"{text} -> {status}, not taken{size}")
         return taken
 
     def take(self, response, sent, body):
