--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,10 +10,14 @@
 import socket
 import time
 
-from deployment import DISRUPTED, Deployment, Unable, run, wait_until
+from deployment import Deployment, Unable, run, wait_until
 from instance import Instance, overlap
 
-FOLDER = os.path.dirname(os.path.abspath(__file__))
+# What was sent, answered and run.
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
+
+# Without the disruption, the rule has to hold.
+DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
 
 # The route of the page large/LATER.md with the aim of 6 s.
 ROUTES = [
@@ -108,4 +112,4 @@
         self.record.line("late", f"{text}; the unread response is {answer!r}")
 
 
-run(FOLDER, case)
+run(RECORD, DISRUPTED, case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,10 +11,14 @@
 import threading
 import time
 
-from deployment import DISRUPTED, Deployment, call, run, wait_until
+from deployment import Deployment, call, run, wait_until
 from instance import Instance
 
-FOLDER = os.path.dirname(os.path.abspath(__file__))
+# What was sent, answered and run.
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
+
+# Without the disruption, the rule has to hold.
+DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
 
 ROUTES = [
     ["avail", "cars.example", "/avail/", "safe", "2000ms", "800ms", 2, "fleet-lookup", 2],
@@ -106,4 +110,4 @@
         return sum(1 for run_at, *_ in instance.runs if run_at >= since)
 
 
-run(FOLDER, case)
+run(RECORD, DISRUPTED, case)
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -21,7 +21,6 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "release", "agateyoke-platform")
-DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
 LIMIT_S = 110.0
 
 HELD, BROKEN, UNABLE = 0, 1, 2
@@ -34,11 +33,11 @@
 class Record:
     """The file record.txt: what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path, disrupted):
         self.started = time.monotonic()
         self.lock = threading.Lock()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
-        self.line("trouble", "on" if DISRUPTED else "off")
+        self.file = open(path, "w", encoding="utf-8")
+        self.line("trouble", "on" if disrupted else "off")
 
     def line(self, kind, text):
         with self.lock:
@@ -246,9 +245,12 @@
     return ports
 
 
-def run(folder, case):
-    """Runs `case(record)`, which returns whether the rule held; exits as the issue says."""
-    record = Record(folder)
+def run(path, disrupted, case):
+    """Runs `case(record)`, which returns whether the rule held; exits as the issue says.
+
+    The record is written to the file `path`.
+    """
+    record = Record(path, disrupted)
     timer = threading.Timer(LIMIT_S, lambda: os.kill(os.getpid(), signal.SIGTERM))
     timer.daemon = True
     timer.start()
