Web server: requests tell what was done before they were sent

Cause: an HTTP request says nothing of the time at which it was sent. Change: `web::serve_ordered` notes a position (for a control VM, the applied log index) before a connection can have been opened and before each response is written, and puts it into the extensions of the request as `SentAfter`. `web::serve` is as before. Run: four tests of a delayed, a suspended, a pipelined and an idle server.

--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -13,6 +13,7 @@
 pub mod json;
 pub mod limits;
 pub mod pool;
+pub mod position;
 pub mod race;
 pub mod retry_after;
 
@@ -26,6 +27,7 @@
 pub use client::{Client, Reuse, SendError, SendOptions};
 pub use limits::Limits;
 
-pub use server::serve;
+pub use position::{Position, SentAfter};
+pub use server::{serve, serve_ordered};
 pub use socket::Caller;
 pub use stop::StopHandle;
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -24,6 +24,7 @@
 use super::encode::FullBody;
 use super::guard;
 use super::limits::Limits;
+use super::position::{Position, Positions, SentAfter};
 use super::race::{self, Either};
 use super::socket::{self, Caller};
 use super::stop::{Registration, StopHandle};
@@ -61,14 +62,56 @@
     H: Fn(http::Request<Bytes>) -> F + 'static,
     F: Future<Output = http::Response<Bytes>> + 'static,
 {
+    let positions = Positions::<fn() -> Position>::untracked();
+    accept_connections(listener, limits, stop, positions, handler).await;
+}
+
+/// Like [`serve`]; each request has its [`SentAfter`] in its extensions, by the position that
+/// `current` returns.
+pub async fn serve_ordered<P, H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    stop: StopHandle,
+    current: P,
+    handler: H,
+) where
+    P: Fn() -> Position + 'static,
+    H: Fn(http::Request<Bytes>) -> F + 'static,
+    F: Future<Output = http::Response<Bytes>> + 'static,
+{
+    let positions = Positions::tracked(current);
+    accept_connections(listener, limits, stop, positions, handler).await;
+}
+
+async fn accept_connections<P, H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    stop: StopHandle,
+    positions: Positions<P>,
+    handler: H,
+) where
+    P: Fn() -> Position + 'static,
+    H: Fn(http::Request<Bytes>) -> F + 'static,
+    F: Future<Output = http::Response<Bytes>> + 'static,
+{
+    let positions = Rc::new(positions);
+    let mut sent_after = Position::default();
     let limits = Rc::new(limits);
     let handler = Rc::new(handler);
     let refusals = Rc::new(Cell::new(0));
     let mut registration = stop.register();
     let mut accept_end = None;
     loop {
+        sent_after = positions.before_connection(listener.as_raw_fd(), sent_after);
         let accepted = match accept_end {
-            None => race::race(pin!(listener.accept()), pin!(registration.stopped())).await,
+            None => {
+                let accept = time::timeout(positions.refresh_interval(), listener.accept());
+                match race::race(pin!(accept), pin!(registration.stopped())).await {
+                    Either::First(Ok(accepted)) => Either::First(accepted),
+                    Either::First(Err(_)) => continue,
+                    Either::Second(()) => Either::Second(()),
+                }
+            }
             Some(end) if Instant::now() >= end => return,
             Some(_) => match time::timeout(STOP_ACCEPT_IDLE_TIMEOUT, listener.accept()).await {
                 Ok(accepted) => Either::First(accepted),
@@ -82,7 +125,11 @@
                 refuse(stream, &limits, &refusals);
             }
             Either::First(Ok((stream, address))) => {
-                let connection = Connection::new(stream, address, &limits, stop.register());
+                let order = Order {
+                    positions: Rc::clone(&positions),
+                    sent_after,
+                };
+                let connection = Connection::new(stream, address, &limits, order, stop.register());
                 let handler = Rc::clone(&handler);
                 monoio::spawn(async move {
                     let work = pin!(connection.run(&*handler));
@@ -116,14 +163,21 @@
 }
 
 /// Connection of a caller and its limits.
-struct Connection {
+struct Connection<P> {
     reader: FramedRead<TcpOwnedReadHalf, RequestHeads>,
     writer: GenericEncoder<TcpOwnedWriteHalf>,
     caller: Caller,
     limits: Rc<Limits>,
+    order: Order<P>,
     registration: Registration,
 }
 
+/// What is known of the time at which the next request of a connection is sent.
+struct Order<P> {
+    positions: Rc<Positions<P>>,
+    sent_after: Position,
+}
+
 /// Error response of the server itself, in place of the handler's.
 struct ErrorResponse {
     status: StatusCode,
@@ -138,11 +192,15 @@
     TimedOut,
 }
 
-impl Connection {
+impl<P> Connection<P>
+where
+    P: Fn() -> Position,
+{
     fn new(
         stream: TcpStream,
         address: SocketAddr,
         limits: &Rc<Limits>,
+        order: Order<P>,
         registration: Registration,
     ) -> Self {
         let _ = stream.set_nodelay(true);
@@ -157,6 +215,7 @@
             writer: GenericEncoder::new(writer),
             caller,
             limits: Rc::clone(limits),
+            order,
             registration,
         }
     }
@@ -225,6 +284,7 @@
             .await
             .map_err(|_| ErrorResponse::timeout())?;
         head.extensions.insert(self.caller);
+        head.extensions.insert(SentAfter(self.order.sent_after));
         Ok(Some(http::Request::from_parts(head, body?)))
     }
 
@@ -265,6 +325,13 @@
         if is_head_request {
             *response.body_mut() = Bytes::new();
         }
+        if self.reader.read_buffer().is_empty() {
+            let Order {
+                positions,
+                sent_after,
+            } = &mut self.order;
+            *sent_after = positions.before_response(self.caller.fd, *sent_after);
+        }
         let written = write(&mut self.writer, response, self.limits.write_timeout).await;
         if written && !keep_open {
             linger(&mut self.reader, &mut self.writer).await;
--- a/src/web/socket.rs
+++ b/src/web/socket.rs
@@ -36,6 +36,17 @@
     }
 }
 
+/// Whether a connection of the listener `fd` waits to be accepted; true also if that is unknown.
+pub(super) fn has_connection(fd: RawFd) -> bool {
+    let mut listener = libc::pollfd {
+        fd,
+        events: libc::POLLIN,
+        revents: 0,
+    };
+    // SAFETY: the pointer is to one live structure, and the length is one.
+    unsafe { libc::poll(&raw mut listener, 1, 0) != 0 }
+}
+
 /// Makes the connection of `fd` fail once sent bytes have stayed unacknowledged for `timeout`.
 ///
 /// # Errors
--- a/src/web/tests/mod.rs
+++ b/src/web/tests/mod.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod client;
 mod connection;
+mod position;
 mod server;
 
 use std::net::SocketAddr;
