Fleet: a new leader takes no delayed heartbeat for a release of keys

Cause: the first heartbeat that a new leader had of an incarnation counted as new whatever its sequence number, as there was none to compare with. One from before a grant, without keys, freed the keys of a server that had left, whose lease ran on. Change: each control VM forwards with a heartbeat the log index that it had applied before the heartbeat was sent. A leader takes the held keys from it only if that index is part of its own leadership. Why it works: what predecessors granted was granted before this leader's first entry was applied anywhere; a heartbeat that was sent after that is later than each such grant. What this leader grants is ordered by the sequence numbers that it knows.

--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -17,6 +17,7 @@
 use super::grant_client::CallFormat;
 use super::model::{Vm, VmRole};
 use crate::control::state::State;
+use crate::ids;
 use crate::log;
 use crate::rpc::{self, Fault, error};
 use crate::settings::fleet::{ControlSettings, SettingsFile};
@@ -86,7 +87,14 @@
     };
     let for_http = Rc::clone(&shared);
     let answer = move |request| handler(for_http.borrow().clone(), request);
-    monoio::spawn(web::serve(control, limits, stop.clone(), answer));
+    let applied = applied_index(&shared);
+    monoio::spawn(web::serve_ordered(
+        control,
+        limits,
+        stop.clone(),
+        applied,
+        answer,
+    ));
     journal.record(Event::new("control.started").zone(&settings.zone));
     while !signals.stop_requested() {
         if let Some(handle) = open(&settings, &format, &journal, &shared) {
@@ -104,6 +112,12 @@
     Ok(())
 }
 
+/// Returns the function that reads the last applied log index; it is 0 while the log is not open.
+fn applied_index(shared: &SharedFrontend) -> impl Fn() -> ids::LogIndex + use<> {
+    let shared = Rc::clone(shared);
+    move || shared.borrow().as_ref().map_or(0, |f| f.applied_index())
+}
+
 /// Returns the handler of RPCs, which fails them while the log is not open.
 fn call_handler(
     shared: &SharedFrontend,
--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -102,6 +102,11 @@
         self.coordinator.log.leading_since().is_some()
     }
 
+    /// Last log index that was applied on this VM.
+    pub fn applied_index(&self) -> ids::LogIndex {
+        self.coordinator.log.applied_index()
+    }
+
     /// Changes the routing table.
     ///
     /// # Errors
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -1,7 +1,9 @@
 //! Leases of backend servers, in the leader's memory only.
 //!
 //! A new leader doesn't know the leases that its predecessor granted, so it assumes that
-//! every incarnation has one of the maximum duration.
+//! every incarnation has one of the maximum duration. It also has no sequence number to tell a
+//! delayed heartbeat from a new one, so a heartbeat says what its sender holds only if it was sent
+//! after this leader began.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -119,7 +121,8 @@
     ///
     /// After [`MAX_HEARTBEAT_GAP`] an older one counts again, as the sequence number of the newer one
     /// may be another writer's. It may also be a delayed copy, so it doesn't prove a release until
-    /// heartbeats have followed it in order for [`TRUST_DELAY`].
+    /// heartbeats have followed it in order for [`TRUST_DELAY`]. Nor does one that may have been sent
+    /// before this VM became the leader, as its predecessor may have granted keys since.
     /// `applied_index` is the log index applied on this VM.
     pub fn record_heartbeat(
         &mut self,
@@ -146,6 +149,16 @@
         let untrusted_since = in_order.and_then(|l| l.untrusted_since).unwrap_or(now);
         let is_trusted = last.is_none_or(|l| heartbeat.sequence > l.trusted_above)
             || now >= untrusted_since + TRUST_DELAY;
+        let is_current = heartbeat.sent_after >= self.first_index;
+        if !is_current {
+            ::log::debug!(
+                "event=fleet.heartbeat_outdated server={:?} sequence={} sent_after={} leads_after={}",
+                incarnation.server,
+                heartbeat.sequence,
+                heartbeat.sent_after,
+                self.first_index,
+            );
+        }
         let latest = LastHeartbeat {
             incarnation: incarnation.clone(),
             sequence: heartbeat.sequence,
@@ -156,7 +169,7 @@
             untrusted_since: Some(untrusted_since).filter(|_| !is_trusted),
             received: now,
             applied_index,
-            held: heartbeat.held.clone().filter(|_| is_trusted),
+            held: heartbeat.held.clone().filter(|_| is_trusted && is_current),
             expires: last.and_then(|l| l.expires),
         };
         self.heartbeats
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -62,6 +62,9 @@
     /// Key ranges released since the last heartbeat that was answered.
     #[serde(rename = "freed", default, skip_serializing_if = "Vec::is_empty")]
     pub released: Vec<ReleasedRange>,
+    /// Log index that was applied on the VM that received the heartbeat before it was sent.
+    #[serde(default)]
+    pub sent_after: ids::LogIndex,
 }
 
 /// Keys granted to a backend server.
--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -70,6 +70,29 @@
     assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now));
 }
 
+/// Guards against keys of two owners: a new leader has no sequence number to compare a delayed heartbeat
+/// with, and the keys may have been granted after it was sent.
+#[test]
+fn a_heartbeat_from_before_the_leadership_proves_no_release() {
+    let (store, range) = fixture();
+    let now = Instant::now();
+    let mut leases = Leases::new(MAX_LEASE, now, 7);
+    let mut delayed = heartbeat("a", 1, &[]);
+    delayed.sent_after = 6;
+    let is_free = |leases: &Leases, at| leases.is_free(&range, &store, Delivery::Heartbeat, at);
+    assert!(leases.record_heartbeat(&delayed, 8, now));
+    assert!(!is_free(&leases, now));
+    assert!(is_free(&leases, now + ALL_EXPIRED));
+    let mut present = heartbeat("a", 2, &[(0, 9)]);
+    present.sent_after = 7;
+    assert!(leases.record_heartbeat(&present, 8, now));
+    assert!(!is_free(&leases, now), "it holds the keys");
+    let mut released = heartbeat("a", 3, &[]);
+    released.sent_after = 7;
+    assert!(leases.record_heartbeat(&released, 8, now));
+    assert!(is_free(&leases, now));
+}
+
 #[test]
 fn a_silent_owner_keeps_its_keys_until_its_lease_has_expired() {
     let (store, range) = fixture();
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -13,6 +13,7 @@
 
 use super::messages::{Heartbeat, HeldRange};
 use super::model::{Incarnation, Server, ServerState};
+use crate::ids;
 
 fn incarnation(name: &str, start_ms: u64) -> Incarnation {
     Incarnation {
@@ -34,7 +35,7 @@
     }
 }
 
-/// A heartbeat of a server that holds some key ranges.
+/// A heartbeat of a server that holds some key ranges; it was sent a moment ago.
 fn heartbeat(name: &str, sequence: u64, held: &[(u16, u16)]) -> Heartbeat {
     let range = |&(from, to): &(u16, u16)| HeldRange { from, to, fence: 1 };
     Heartbeat {
@@ -42,5 +43,6 @@
         sequence,
         held: Some(held.iter().map(range).collect()),
         released: Vec::new(),
+        sent_after: ids::LogIndex::MAX,
     }
 }
--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -1,5 +1,5 @@
-//! A model of backend servers that run, restart and are cut off, and of another writer whose
-//! heartbeats vary each field, against the leases of a leader that changes.
+//! A model of backend servers that run, restart, drain and are cut off, of heartbeats that are delayed,
+//! and of another writer whose heartbeats vary each field, against the leases of a leader that changes.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -40,6 +40,18 @@
     held: Vec<(HeldRange, Instant)>,
     released: Vec<ReleasedRange>,
     cut_until: Instant,
+    /// Whether it has said that it leaves; it sends nothing any more and restarts at `cut_until`.
+    left: bool,
+}
+
+impl Process {
+    fn restart(&mut self) {
+        self.server.incarnation.start_ms += 1;
+        self.sequence = 0;
+        self.held.clear();
+        self.released.clear();
+        self.left = false;
+    }
 }
 
 struct Model {
@@ -51,6 +63,8 @@
     processes: Vec<Process>,
     /// Leases that the other writer was granted; nobody holds these keys, but they count as granted.
     granted: Vec<(Incarnation, HeldRange, Instant)>,
+    /// Heartbeats that are on their way, with the time at which they arrive.
+    delayed: Vec<(Instant, Heartbeat)>,
     accepted: u32,
 }
 
@@ -63,6 +77,7 @@
             held: Vec::new(),
             released: Vec::new(),
             cut_until: now,
+            left: false,
         };
         Self {
             random: fastrand::Rng::with_seed(seed),
@@ -72,6 +87,7 @@
             leases: Leases::new(LEASE, now, 0),
             processes: [("a", 1), ("b", 2), ("c", 3)].map(process).into(),
             granted: Vec::new(),
+            delayed: Vec::new(),
             accepted: 0,
         }
     }
@@ -90,9 +106,13 @@
         if disturbed {
             self.disturb();
         }
+        self.deliver_delayed();
         for i in 0..self.processes.len() {
             let phase = u32::try_from(i).unwrap() * 5;
             if step % HEARTBEAT_STEPS == phase && self.now >= self.processes[i].cut_until {
+                if self.processes[i].left {
+                    self.processes[i].restart();
+                }
                 self.send_heartbeat(i);
             }
         }
@@ -113,17 +133,46 @@
             self.processes[which].cut_until = self.now + cut;
         }
         if self.chance(0.004) {
-            let process = &mut self.processes[which];
-            process.server.incarnation.start_ms += 1;
-            process.sequence = 0;
-            process.held.clear();
-            process.released.clear();
+            self.processes[which].restart();
+        }
+        if self.chance(0.004) {
+            self.leave(which);
+        }
+        if self.chance(0.03) && !self.processes[which].left {
+            self.delay_heartbeat(which);
         }
         if self.chance(0.003) {
+            // The new leader begins with an entry of its own.
+            self.index += 1;
             self.leases = Leases::new(LEASE, self.now, self.index);
         }
     }
 
+    /// A process says that it leaves, and goes on serving for some seconds.
+    fn leave(&mut self, which: usize) {
+        let process = &mut self.processes[which];
+        process.left = true;
+        process.cut_until = self.now + Duration::from_secs(9);
+        let incarnation = process.server.incarnation.clone();
+        let state = ServerState::Left;
+        self.apply(Change::SetState { incarnation, state });
+    }
+
+    /// Sends a heartbeat that arrives seconds later; its sender has given up waiting by then.
+    fn delay_heartbeat(&mut self, which: usize) {
+        let arrival = self.now + Duration::from_millis(self.random.u64(1000..9000));
+        let heartbeat = self.next_heartbeat(which);
+        self.delayed.push((arrival, heartbeat));
+    }
+
+    fn deliver_delayed(&mut self) {
+        let now = self.now;
+        let arrived: Vec<_> = self.delayed.extract_if(.., |d| d.0 <= now).collect();
+        for (_, heartbeat) in arrived {
+            self.answer(&heartbeat);
+        }
+    }
+
     /// A heartbeat of another writer: that of a server with some fields changed.
     ///
     /// One that has the id, start, service and address of a server is that server's own word about
@@ -193,7 +242,8 @@
         heartbeat
     }
 
-    fn send_heartbeat(&mut self, which: usize) {
+    /// The next heartbeat of a process, sent now.
+    fn next_heartbeat(&mut self, which: usize) -> Heartbeat {
         let now = self.now;
         let process = &mut self.processes[which];
         process.sequence += 1;
@@ -202,6 +252,13 @@
         heartbeat.server = process.server.clone();
         heartbeat.held = Some(process.held.iter().map(|h| h.0).collect());
         heartbeat.released = std::mem::take(&mut process.released);
+        heartbeat.sent_after = self.index;
+        heartbeat
+    }
+
+    fn send_heartbeat(&mut self, which: usize) {
+        let now = self.now;
+        let heartbeat = self.next_heartbeat(which);
         let Some(lease) = self.answer(&heartbeat) else {
             return;
         };
