Evacuation: an order has no effect if it was sent before the zone's last one

Cause: an order carries no version. A control VM that was suspended read an old evacuation.finish, forwarded it, and the log let the last one that was proposed win. An old evacuation.start does the same the other way round. Change: the VM that receives an order adds the log index that it had applied before the order was sent; the log keeps the index of the last order for each zone, also of one that changes nothing, and drops an order from before it. `fleet.evacuate_outdated` names what was dropped. Changes of earlier versions in the log take effect as before. Why it works: an order that is newer has an index above anything applied before the old one was sent, so the old one loses whoever reads or forwards it, and however late.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -36,8 +36,8 @@
     Claim(claim::Applied),
     /// Result of a change of the routing table.
     Table(table::Outcome),
-    /// A change of backend servers and their keys was applied.
-    Fleet,
+    /// Effect of a change of backend servers and their keys.
+    Fleet(fleet::Effect),
     /// The command could not be decoded and was skipped.
     Unreadable,
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -115,10 +115,7 @@
             }
             Command::Claim(change) => Applied::Claim(self.claims.borrow_mut().apply(change)),
             Command::Table(change) => Applied::Table(self.table.borrow_mut().apply(index, change)),
-            Command::Fleet(change) => {
-                self.fleet.borrow_mut().apply(index, change);
-                Applied::Fleet
-            }
+            Command::Fleet(change) => Applied::Fleet(self.fleet.borrow_mut().apply(index, change)),
         }
     }
 }
--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -18,7 +18,7 @@
 use super::plan;
 use super::reassign;
 use super::registration::{self, Registration};
-use super::store::{Change, Store};
+use super::store::{Change, Effect, Store};
 use crate::clock;
 use crate::control::command::{Applied, Command};
 use crate::control::propose;
@@ -599,8 +599,16 @@
             .await
     }
 
+    /// Proposes a change that is never outdated.
     pub(super) async fn propose_fleet(&self, change: Change) -> Result<(), RequestError> {
-        self.propose(Command::Fleet(change)).await.map(|_| ())
+        self.propose_ordered(change).await.map(|_| ())
+    }
+
+    pub(super) async fn propose_ordered(&self, change: Change) -> Result<Effect, RequestError> {
+        match self.propose(Command::Fleet(change)).await? {
+            Applied::Fleet(effect) => Ok(effect),
+            _ => Err(RequestError::Unsure),
+        }
     }
 
     async fn propose(&self, command: Command) -> Result<Applied, RequestError> {
--- a/src/fleet/evacuation.rs
+++ b/src/fleet/evacuation.rs
@@ -17,7 +17,7 @@
 use super::messages;
 use super::model::{Incarnation, Server, ServerState};
 use super::ranges::RangeMap;
-use super::store::{Change, Store, Versioned};
+use super::store::{Change, Effect, Store, Versioned};
 use crate::ids;
 use crate::timeline::Event;
 
@@ -32,7 +32,7 @@
 /// whether it is cold.
 const RETURN_CAUTION: Duration = Duration::from_secs(2);
 
-/// Whether a zone is evacuated; as a call, that it is to be.
+/// Whether a zone is evacuated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneEvacuation {
     /// Zone.
@@ -41,6 +41,20 @@
     pub active: bool,
 }
 
+/// Call that starts or ends the evacuation of a zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationOrder {
+    /// Zone.
+    pub zone: ids::ZoneName,
+    /// Whether it is to be evacuated.
+    pub active: bool,
+    /// Log index that was applied on the VM that received the order before it was sent.
+    ///
+    /// An order has no version, and a suspended VM may read it after newer ones were accepted.
+    #[serde(default)]
+    pub sent_after: ids::LogIndex,
+}
+
 /// Outcome of a call that starts or ends an evacuation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -49,6 +63,8 @@
     Accepted,
     /// No VM or backend server is in the zone; with the known zones.
     UnknownZone(Vec<ids::ZoneName>),
+    /// The log has an order for the zone that may be newer.
+    Outdated,
 }
 
 /// Why a call was refused, as text.
@@ -71,20 +87,39 @@
 }
 
 impl Store {
+    /// Starts or ends the evacuation of a zone, unless the order may have been sent before the last one
+    /// that the log has for the zone.
+    ///
+    /// An order that changes nothing counts as well: one that is older must not undo it.
     pub(super) fn set_evacuated(
         &mut self,
         index: ids::LogIndex,
         zone: ids::ZoneName,
         active: bool,
-    ) {
-        if self.is_evacuated(&zone) == active {
-            return;
+        sent_after: ids::LogIndex,
+    ) -> Effect {
+        let is_changed = self.is_evacuated(&zone) != active;
+        match self.last_order(&zone) {
+            last if last > sent_after && is_changed => return Effect::Outdated,
+            last if last > sent_after => return Effect::Applied,
+            _ => {}
         }
-        let versioned = Versioned {
-            value: active,
-            changed: index,
-        };
-        self.evacuations.insert(zone, versioned);
+        self.evacuation_orders.insert(Arc::clone(&zone), index);
+        if is_changed {
+            let versioned = Versioned {
+                value: active,
+                changed: index,
+            };
+            self.evacuations.insert(zone, versioned);
+        }
+        Effect::Applied
+    }
+
+    /// Log index of the last order for a zone; 0 if there was none.
+    fn last_order(&self, zone: &str) -> ids::LogIndex {
+        let changed = self.evacuations.get(zone).map(|e| e.changed);
+        let ordered = self.evacuation_orders.get(zone).copied();
+        ordered.max(changed).unwrap_or_default()
     }
 
     /// Whether a zone is evacuated.
@@ -191,23 +226,34 @@
     /// # Errors
     ///
     /// [`RequestError`] if the change was not or may not have been committed.
-    pub async fn evacuate(&self, evacuation: ZoneEvacuation) -> Result<Outcome, RequestError> {
+    pub async fn evacuate(&self, order: EvacuationOrder) -> Result<Outcome, RequestError> {
         self.log.leading_since().ok_or(RequestError::NotLeader)?;
         let known = self.with_fleet(Store::zones);
-        let ZoneEvacuation { zone, active } = evacuation;
+        let EvacuationOrder {
+            zone,
+            active,
+            sent_after,
+        } = order;
         if !known.contains(&zone) {
             return Ok(Outcome::UnknownZone(known));
         }
         let changes = self.with_fleet(|store| store.is_evacuated(&zone) != active);
-        let (kind, change) = if active {
+        let (kind, change) = {
             let zone = Arc::clone(&zone);
-            ("fleet.evacuate", Change::Evacuate { zone })
-        } else {
-            let zone = Arc::clone(&zone);
-            ("fleet.evacuate_end", Change::EndEvacuation { zone })
+            if active {
+                ("fleet.evacuate", Change::Evacuate { zone, sent_after })
+            } else {
+                let change = Change::EndEvacuation { zone, sent_after };
+                ("fleet.evacuate_end", change)
+            }
         };
         // A call that is sent again is proposed as well: its acknowledgement says that the log has it.
-        self.propose_fleet(change).await?;
+        if self.propose_ordered(change).await? == Effect::Outdated {
+            let event = Event::new("fleet.evacuate_outdated").zone(&zone);
+            let detail = format!("active={active} sent_after={sent_after}");
+            self.journal.record(event.detail(&detail));
+            return Ok(Outcome::Outdated);
+        }
         if changes {
             self.journal.record(Event::new(kind).zone(&zone));
             self.request_pass();
@@ -222,10 +268,10 @@
     /// # Errors
     ///
     /// [`RequestError`] if the outcome is unknown or the leader was not reached.
-    pub async fn evacuate(&self, evacuation: ZoneEvacuation) -> Result<Outcome, RequestError> {
+    pub async fn evacuate(&self, order: EvacuationOrder) -> Result<Outcome, RequestError> {
         if self.is_leader() {
-            return self.coordinator.evacuate(evacuation).await;
+            return self.coordinator.evacuate(order).await;
         }
-        self.forward(messages::EVACUATION, &evacuation).await
+        self.forward(messages::EVACUATION, &order).await
     }
 }
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -19,7 +19,7 @@
 pub const POSITION: &str = "fleet.position";
 /// Method that registers a VM.
 pub const VM: &str = "fleet.vm";
-/// Method of [`ZoneEvacuation`](super::evacuation::ZoneEvacuation), which starts or ends one.
+/// Method of [`EvacuationOrder`](super::evacuation::EvacuationOrder).
 pub const EVACUATION: &str = "fleet.evacuation";
 /// Method of [`Observations`], which control VMs forward to the leader.
 pub const OBSERVATIONS: &str = "fleet.seen";
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -93,14 +93,35 @@
     Evacuate {
         /// Zone to evacuate.
         zone: ids::ZoneName,
+        /// Log index that was applied before the order was sent.
+        #[serde(default = "unordered")]
+        sent_after: ids::LogIndex,
     },
     /// Withdraws the evacuation of a zone.
     EndEvacuation {
         /// Zone to return to service.
         zone: ids::ZoneName,
+        /// Log index that was applied before the order was sent.
+        #[serde(default = "unordered")]
+        sent_after: ids::LogIndex,
     },
 }
 
+/// Takes a change of an earlier version, which doesn't say when it was asked for, for a new one.
+const fn unordered() -> ids::LogIndex {
+    ids::LogIndex::MAX
+}
+
+/// Effect of a [`Change`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// The state is as the change says, unless the state names a newer incarnation.
+    Applied,
+    /// None: the change may have been asked for before one that the log has.
+    Outdated,
+}
+
 /// A value and the log index of its last change.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Versioned<T> {
@@ -121,6 +142,9 @@
     /// Whether each zone that was ever evacuated is so now.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(super) evacuations: BTreeMap<ids::ZoneName, Versioned<bool>>,
+    /// Log index of the last order to start or end the evacuation of each zone.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(super) evacuation_orders: BTreeMap<ids::ZoneName, ids::LogIndex>,
 }
 
 impl Store {
@@ -153,7 +177,7 @@
     }
 
     /// Applies a change; one that conflicts with the state has no effect.
-    pub fn apply(&mut self, index: ids::LogIndex, change: Change) {
+    pub fn apply(&mut self, index: ids::LogIndex, change: Change) -> Effect {
         match change {
             Change::Vm(vm) => {
                 let name = Arc::clone(&vm.name);
@@ -207,9 +231,14 @@
                 let map = self.ranges.entry(service).or_default();
                 map.assign(index, &incarnation, &ranges);
             }
-            Change::Evacuate { zone } => self.set_evacuated(index, zone, true),
-            Change::EndEvacuation { zone } => self.set_evacuated(index, zone, false),
+            Change::Evacuate { zone, sent_after } => {
+                return self.set_evacuated(index, zone, true, sent_after);
+            }
+            Change::EndEvacuation { zone, sent_after } => {
+                return self.set_evacuated(index, zone, false, sent_after);
+            }
         }
+        Effect::Applied
     }
 
     /// Registers a backend server; an older one at the same address is gone.
--- a/src/fleet/tests/evacuation.rs
+++ b/src/fleet/tests/evacuation.rs
@@ -8,7 +8,7 @@
 use crate::fleet::plan;
 use crate::fleet::ranges::RangeMap;
 use crate::fleet::reassign;
-use crate::fleet::{Change, Store, updates};
+use crate::fleet::{Change, Effect, Store, updates};
 use crate::table;
 
 /// Half of the usual time that an evacuation may take, less two heartbeats of a move.
@@ -56,15 +56,20 @@
 }
 
 fn evacuate(store: &mut Store, index: u64, active: bool) {
+    assert_eq!(order(store, index, active, index - 1), Effect::Applied);
+}
+
+/// Applies an order for zone `a` that was sent after a log index.
+fn order(store: &mut Store, index: u64, active: bool, sent_after: u64) -> Effect {
     let zone = "a".into();
     store.apply(
         index,
         if active {
-            Change::Evacuate { zone }
+            Change::Evacuate { zone, sent_after }
         } else {
-            Change::EndEvacuation { zone }
+            Change::EndEvacuation { zone, sent_after }
         },
-    );
+    )
 }
 
 fn candidates(
@@ -156,7 +161,13 @@
     let now = Instant::now();
     let mut progress = Progress::default();
     evacuate(&mut store, 10, true);
-    store.apply(11, Change::Evacuate { zone: "b".into() });
+    store.apply(
+        11,
+        Change::Evacuate {
+            zone: "b".into(),
+            sent_after: 10,
+        },
+    );
     progress.update(&store, now);
     let later = now + LAST_GROUP;
     assert_eq!(planned(&store, &progress, 5, later).len(), 6);
@@ -193,7 +204,13 @@
 fn zones_of_servers_and_of_earlier_evacuations_are_known() {
     let mut store = store();
     assert_eq!(store.zones(), ["a".into(), "b".into()]);
-    store.apply(10, Change::Evacuate { zone: "c".into() });
+    store.apply(
+        10,
+        Change::Evacuate {
+            zone: "c".into(),
+            sent_after: 9,
+        },
+    );
     assert_eq!(store.zones(), ["a".into(), "b".into(), "c".into()]);
 }
 
@@ -234,3 +251,65 @@
     assert!(!progress.is_just_returned("b", later));
     assert!(!progress.is_just_returned("a", now + Duration::from_secs(2)));
 }
+
+/// Guards against an order that a suspended VM forwards after newer ones, in either direction.
+#[test]
+fn an_order_that_was_sent_before_the_last_one_has_no_effect() {
+    for active in [true, false] {
+        let mut store = store();
+        evacuate(&mut store, 10, !active);
+        evacuate(&mut store, 12, active);
+        evacuate(&mut store, 15, !active);
+        for sent_after in [0, 9, 10, 11, 12, 14] {
+            let late = order(&mut store, 20, active, sent_after);
+            assert_eq!(late, Effect::Outdated, "sent after {sent_after}");
+            assert_eq!(store.is_evacuated("a"), !active);
+        }
+        assert_eq!(order(&mut store, 21, active, 15), Effect::Applied);
+        assert_eq!(store.is_evacuated("a"), active);
+    }
+}
+
+/// Guards against an order that undoes a newer one which found the zone as it asked for.
+#[test]
+fn an_order_that_changes_nothing_outdates_earlier_ones() {
+    for active in [true, false] {
+        let mut store = store();
+        evacuate(&mut store, 10, active);
+        evacuate(&mut store, 20, active);
+        let changed = store.evacuations.get("a").map(|e| e.changed);
+        assert_eq!(changed, active.then_some(10), "entry VMs hear nothing new");
+        assert_eq!(order(&mut store, 21, !active, 15), Effect::Outdated);
+        assert_eq!(store.is_evacuated("a"), active);
+        assert_eq!(order(&mut store, 22, !active, 20), Effect::Applied);
+    }
+}
+
+/// Guards against an order that is sent again to several VMs and refused, although the first copy counts.
+#[test]
+fn a_copy_of_an_accepted_order_is_accepted() {
+    let mut store = store();
+    evacuate(&mut store, 10, true);
+    assert_eq!(order(&mut store, 11, true, 5), Effect::Applied);
+    assert_eq!(
+        order(&mut store, 12, false, 10),
+        Effect::Applied,
+        "the copy outdates nothing"
+    );
+}
+
+/// Guards against a restart after which logs and snapshots of earlier versions mean something else.
+#[test]
+fn orders_of_earlier_versions_take_effect_in_the_order_of_the_log() {
+    let mut store = store();
+    for (index, kind) in [(10, "evacuate"), (11, "end_evacuation"), (12, "evacuate")] {
+        let json = format!(r#"{{"{kind}":{{"zone":"a"}}}}"#);
+        let change: Change = serde_json::from_str(&json).unwrap();
+        assert_eq!(store.apply(index, change), Effect::Applied);
+    }
+    store.evacuation_orders.clear();
+    let json = serde_json::to_string(&store).unwrap();
+    assert!(!json.contains("evacuation_orders"), "{json}");
+    let mut restored: Store = serde_json::from_str(&json).unwrap();
+    assert_eq!(order(&mut restored, 13, false, 11), Effect::Outdated);
+}
