Fleet: a delayed heartbeat of an earlier process displaces no later one

Cause: a later incarnation gave way to an earlier one after 2 s without heartbeats at the leader. Followers answer those of servers without keys for 10 s, and a server that has left sends none, so a delayed heartbeat of the former process took the name back, as ready. It ended another server at the address of a process that had ended in the same way, and brought back one that was found gone. Change: `Readmit` names the log index that was applied before its heartbeat was sent, and has no effect if the log has a later change of the name or address. Evidence: both new tests of `fleet::tests::registration` fail without the comparison. Why it works: a process that runs sends heartbeats after any change of the log, a process that has ended doesn't.

--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -484,7 +484,7 @@
                 self.contested.borrow_mut().remove(incarnation);
                 return Ok(self.is_present(incarnation));
             }
-            Registration::Ignored => {
+            Registration::Ignored | Registration::Outdated => {
                 log_ignored(heartbeat);
                 return Ok(false);
             }
@@ -669,10 +669,11 @@
 fn log_ignored(heartbeat: &Heartbeat) {
     let incarnation = heartbeat.incarnation();
     ::log::debug!(
-        "event=fleet.heartbeat_ignored server={:?} born={} service={:?}",
+        "event=fleet.heartbeat_ignored server={:?} born={} service={:?} sent_after={}",
         incarnation.server,
         incarnation.start_ms,
         heartbeat.server.service,
+        heartbeat.sent_after,
     );
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -40,4 +40,4 @@
 pub mod updates;
 
 pub use model::{Incarnation, Key, KeyRange, Server, ServerState, Vm, VmRole};
-pub use store::{Change, Effect, Store};
+pub use store::{Change, Effect, Readmission, Store};
--- a/src/fleet/registration.rs
+++ b/src/fleet/registration.rs
@@ -2,7 +2,9 @@
 //!
 //! A heartbeat may come from another writer, with the name or the address of a backend server that
 //! runs. It must neither take keys from their owner nor shut out a server for good, so a registered
-//! server gives way only if it owns no keys, or is silent and has no lease.
+//! server gives way only if it owns no keys, or is silent and has no lease. A heartbeat may also be a
+//! delayed one of a process that has ended: a later incarnation, or a later server at its address,
+//! gives way only to one that was sent after that was registered.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -12,7 +14,7 @@
 use super::messages::Heartbeat;
 use super::model::{Incarnation, Server, ServerState};
 use super::ranges::RangeMap;
-use super::store::{Change, Store};
+use super::store::{Change, Effect, Readmission, Store};
 use crate::ids;
 
 /// What a heartbeat means for the registration of its sender.
@@ -24,6 +26,8 @@
     Ignored,
     /// The heartbeat would displace these servers, which may be running.
     Blocked(Vec<Incarnation>),
+    /// The heartbeat may be a delayed one of a process that has ended since.
+    Outdated,
     /// The sender is registered with another service or address, and may be running there.
     Conflict,
     /// The sender is to be registered.
@@ -51,6 +55,10 @@
     if registered.is_some_and(|r| r.service == sender.service && r.address == sender.address) {
         return Registration::Known;
     }
+    let is_later = is_later(store, sender);
+    if !is_later && !store.is_newest(sender, heartbeat.sent_after) {
+        return Registration::Outdated;
+    }
     let by_name = store.server(&sender.incarnation.server).map(|s| &**s);
     let at_address = store.others_at(sender.address, &sender.incarnation);
     let displaced: Vec<_> = by_name.into_iter().chain(at_address).collect();
@@ -64,10 +72,11 @@
         };
     }
     let server = sender.clone();
-    let change = if is_later(store, sender) {
+    let change = if is_later {
         Change::Announce(server)
     } else {
-        Change::Readmit(server)
+        let sent_after = heartbeat.sent_after;
+        Change::Readmit(Readmission { server, sent_after })
     };
     Registration::New {
         displaced: displaced.iter().map(|s| s.incarnation.clone()).collect(),
@@ -110,13 +119,31 @@
 }
 
 impl Store {
-    /// Registers a backend server whatever the start times say; others at its address are gone.
-    pub(super) fn readmit(&mut self, index: ids::LogIndex, server: Server) {
+    /// Whether a heartbeat of a server that was sent after a log index is newer than all that the log has
+    /// of the server's name and of others at its address.
+    fn is_newest(&self, server: &Server, sent_after: ids::LogIndex) -> bool {
+        let by_name = self.servers.get(&server.incarnation.server);
+        let at_address = self
+            .servers
+            .values()
+            .filter(|v| v.value.address == server.address && v.value.state != ServerState::Gone);
+        let mut known = by_name.into_iter().chain(at_address);
+        known.all(|v| v.changed <= sent_after)
+    }
+
+    /// Registers a backend server whatever the start times say, unless its heartbeat may be a delayed
+    /// one; others at its address are gone.
+    pub(super) fn readmit(&mut self, index: ids::LogIndex, readmission: Readmission) -> Effect {
+        let Readmission { server, sent_after } = readmission;
+        if !self.is_newest(&server, sent_after) {
+            return Effect::Outdated;
+        }
         let others = self.others_at(server.address, &server.incarnation);
         let displaced: Vec<_> = others.map(|s| s.incarnation.clone()).collect();
         for incarnation in displaced {
             self.set_state(index, &incarnation, ServerState::Gone);
         }
         self.insert(index, Arc::new(server));
+        Effect::Applied
     }
 }
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -27,7 +27,7 @@
     Announce(Server),
     /// Registers a backend server although a later incarnation of its name or a later server at its
     /// address was registered, or it counted as gone itself.
-    Readmit(Server),
+    Readmit(Readmission),
     /// Sets the state of a backend server.
     #[serde(rename = "stand")]
     SetState {
@@ -107,6 +107,17 @@
     },
 }
 
+/// A backend server that runs although the log has a later one in its place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Readmission {
+    /// Backend server.
+    #[serde(flatten)]
+    pub server: Server,
+    /// Log index that was applied before its heartbeat was sent.
+    #[serde(default = "unordered")]
+    pub sent_after: ids::LogIndex,
+}
+
 /// Takes a change of an earlier version, which doesn't say when it was asked for, for a new one.
 const fn unordered() -> ids::LogIndex {
     ids::LogIndex::MAX
@@ -190,7 +201,7 @@
                 self.vms.insert(name, versioned);
             }
             Change::Announce(server) => self.announce(index, server),
-            Change::Readmit(server) => self.readmit(index, server),
+            Change::Readmit(readmission) => return self.readmit(index, readmission),
             Change::SetState { incarnation, state } => self.set_state(index, &incarnation, state),
             Change::Warmup {
                 incarnation,
--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -12,8 +12,11 @@
 use crate::fleet::messages::{Heartbeat, HeldRange, Lease, ReleasedRange};
 use crate::fleet::ranges::{AssignedRange, RangeMap};
 use crate::fleet::registration::{self, Registration};
-use crate::fleet::{Change, Incarnation, Key, KeyRange, Server, ServerState, Store};
+use crate::fleet::{
+    Change, Effect, Incarnation, Key, KeyRange, Readmission, Server, ServerState, Store,
+};
 use crate::fleet::{plan, reassign};
+use crate::ids;
 use crate::table::Delivery;
 
 const LEASE: Duration = Duration::from_millis(3500);
@@ -279,9 +282,10 @@
             registration::decide(heartbeat, has_service, &self.store, &self.leases, self.now);
         match decision {
             Registration::Known => {}
-            Registration::Ignored | Registration::Blocked(_) | Registration::Conflict => {
-                return None;
-            }
+            Registration::Ignored
+            | Registration::Outdated
+            | Registration::Blocked(_)
+            | Registration::Conflict => return None,
             Registration::New { change, .. } => self.apply(*change),
         }
         self.store.incarnation(&sender)?;
@@ -494,6 +498,63 @@
     }
 }
 
+fn readmission(server: &Server, sent_after: ids::LogIndex) -> Change {
+    let server = server.clone();
+    Change::Readmit(Readmission { server, sent_after })
+}
+
+/// Guards against a heartbeat that arrives after its sender has ended and undoes the leave of the next
+/// process under its name, or ends another server at its address.
+#[test]
+fn a_delayed_heartbeat_of_an_earlier_process_displaces_no_later_one() {
+    let now = Instant::now();
+    let is_long_silent = now + Duration::from_secs(30);
+    let leases = Leases::new(LEASE, now, 0);
+    for (later, state) in [
+        (server("a", 2, 1), ServerState::Ready),
+        (server("a", 2, 1), ServerState::Left),
+        (server("a", 2, 9), ServerState::Left),
+        (server("b", 2, 1), ServerState::Ready),
+        (server("b", 2, 1), ServerState::Left),
+    ] {
+        let mut store = Store::default();
+        store.apply(10, Change::Announce(server("a", 1, 1)));
+        store.apply(20, Change::Announce(later.clone()));
+        let incarnation = later.incarnation.clone();
+        store.apply(30, Change::SetState { incarnation, state });
+        for sent_after in [0, 10, 15, 29] {
+            let mut delayed = heartbeat("a", 5, &[]);
+            delayed.sent_after = sent_after;
+            let decision = registration::decide(&delayed, true, &store, &leases, is_long_silent);
+            assert_eq!(decision, Registration::Outdated, "sent after {sent_after}");
+            let applied = store.apply(40, readmission(&delayed.server, sent_after));
+            assert_eq!(applied, Effect::Outdated);
+            let registered = store.incarnation(&later.incarnation).map(|s| s.state);
+            assert_eq!(registered, Some(state));
+        }
+        let present = heartbeat("a", 6, &[]);
+        let decision = registration::decide(&present, true, &store, &leases, is_long_silent);
+        assert!(matches!(decision, Registration::New { .. }), "{decision:?}");
+    }
+}
+
+/// Guards against a server that is registered as ready by a heartbeat from before it was found gone.
+#[test]
+fn a_delayed_heartbeat_of_a_server_that_is_gone_is_ignored() {
+    let now = Instant::now();
+    let leases = Leases::new(LEASE, now, 0);
+    let mut store = Store::default();
+    store.apply(10, Change::Announce(server("a", 1, 1)));
+    let (incarnation, state) = (incarnation("a", 1), ServerState::Gone);
+    store.apply(20, Change::SetState { incarnation, state });
+    let mut heartbeat = heartbeat("a", 5, &[]);
+    heartbeat.sent_after = 19;
+    let decide = |h: &Heartbeat| registration::decide(h, true, &store, &leases, now);
+    assert_eq!(decide(&heartbeat), Registration::Outdated);
+    heartbeat.sent_after = 20;
+    assert!(matches!(decide(&heartbeat), Registration::New { .. }));
+}
+
 /// Guards against a server that a foreign heartbeat or a long silence shut out.
 #[test]
 fn a_displaced_server_comes_back_once_the_other_is_silent() {
@@ -514,15 +575,15 @@
     let Registration::New { change, .. } = decide(&store, 2) else {
         panic!("it is not registered");
     };
-    assert_eq!(*change, Change::Readmit(own.server.clone()));
+    assert_eq!(*change, readmission(&own.server, ids::LogIndex::MAX));
     store.apply(3, *change);
     assert_eq!(decide(&store, 2), Registration::Known);
     let (incarnation, state) = (incarnation("a", 1), ServerState::Gone);
     store.apply(4, Change::SetState { incarnation, state });
     assert!(matches!(decide(&store, 2), Registration::New { .. }));
-    store.apply(5, Change::Readmit(server("a", 1, 9)));
+    store.apply(5, readmission(&server("a", 1, 9), 4));
     assert_eq!(decide(&store, 1), Registration::Conflict);
-    let change = Box::new(Change::Readmit(own.server.clone()));
+    let change = Box::new(readmission(&own.server, ids::LogIndex::MAX));
     let displaced = vec![super::incarnation("a", 1)];
     assert_eq!(decide(&store, 2), Registration::New { displaced, change });
 }
