Fleet: a departure names what it ends, and is remembered for unknown servers

A server that had left was registered as ready by its first heartbeat, if that came later, and got requests. A server that ran was taken out of service by the late departure of its former process, as the users' platform sends `leave` without a start time. Cause: the leader compared the call with what was registered at the moment at which it read it, and dropped what it didn't know. Change: `leave` is a change of the log that decides there. Departures of unknown processes are kept until a later one of the name is registered (256 at most); one without a start time ends the registered process only if it was sent after the last change of it, else 503. Why it works: a process is named by its start time, or by the log index before which it was registered; both stay the same however late the call is read.

--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -13,7 +13,7 @@
 use super::grant_client::CallFormat;
 use super::leases::{self, Leases};
 use super::load::LoadCounts;
-use super::messages::{Heartbeat, Leave, Observations, Renewal};
+use super::messages::{Heartbeat, Observations, Renewal};
 use super::model::{Incarnation, Server, ServerState};
 use super::plan;
 use super::reassign;
@@ -323,28 +323,6 @@
         })
     }
 
-    /// Records that a backend server leaves.
-    ///
-    /// # Errors
-    ///
-    /// [`RequestError`] if the change was not or may not have been committed.
-    pub async fn leave(&self, leave: Leave) -> Result<(), RequestError> {
-        self.log.leading_since().ok_or(RequestError::NotLeader)?;
-        let server = self.with_fleet(|store| store.server(&leave.server).map(Arc::clone));
-        let is_meant = |s: &Arc<Server>| {
-            leave
-                .start_ms
-                .is_none_or(|start| start == s.incarnation.start_ms)
-        };
-        let Some(server) = server.filter(is_meant) else {
-            return Ok(());
-        };
-        self.set_state(&server.incarnation, ServerState::Left)
-            .await?;
-        self.request_pass();
-        Ok(())
-    }
-
     /// Asks for a pass over the key ranges as soon as one may begin.
     pub(super) fn request_pass(&self) {
         self.pass_requested.set(true);
@@ -599,7 +577,7 @@
             .await
     }
 
-    /// Proposes a change that is never outdated.
+    /// Proposes a change whose effect shows in the state.
     pub(super) async fn propose_fleet(&self, change: Change) -> Result<(), RequestError> {
         self.propose_ordered(change).await.map(|_| ())
     }
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -108,6 +108,9 @@
     /// Start of the incarnation that leaves, in milliseconds since the Unix epoch, if known.
     #[serde(rename = "born")]
     pub start_ms: Option<u64>,
+    /// Log index that was applied on the VM that received the notice before it was sent.
+    #[serde(default)]
+    pub sent_after: ids::LogIndex,
 }
 
 /// What entry VMs observed since their last report.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 pub mod frontend;
 pub mod grant_client;
 pub mod leases;
+mod leaving;
 pub mod load;
 pub mod messages;
 pub mod model;
@@ -40,4 +41,4 @@
 pub mod updates;
 
 pub use model::{Incarnation, Key, KeyRange, Server, ServerState, Vm, VmRole};
-pub use store::{Change, Effect, Readmission, Store};
+pub use store::{Announcement, Change, Effect, Store};
--- a/src/fleet/registration.rs
+++ b/src/fleet/registration.rs
@@ -14,7 +14,7 @@
 use super::messages::Heartbeat;
 use super::model::{Incarnation, Server, ServerState};
 use super::ranges::RangeMap;
-use super::store::{Change, Effect, Readmission, Store};
+use super::store::{Announcement, Change, Effect, Store};
 use crate::ids;
 
 /// What a heartbeat means for the registration of its sender.
@@ -56,7 +56,9 @@
         return Registration::Known;
     }
     let is_later = is_later(store, sender);
-    if !is_later && !store.is_newest(sender, heartbeat.sent_after) {
+    let sent_after = heartbeat.sent_after;
+    let is_delayed = !is_later && !store.is_newest(sender, sent_after);
+    if is_delayed || store.has_left(sender, sent_after) {
         return Registration::Outdated;
     }
     let by_name = store.server(&sender.incarnation.server).map(|s| &**s);
@@ -71,12 +73,14 @@
             None => Registration::Blocked(stays),
         };
     }
-    let server = sender.clone();
+    let announcement = Announcement {
+        server: sender.clone(),
+        sent_after,
+    };
     let change = if is_later {
-        Change::Announce(server)
+        Change::Announce(announcement)
     } else {
-        let sent_after = heartbeat.sent_after;
-        Change::Readmit(Readmission { server, sent_after })
+        Change::Readmit(announcement)
     };
     Registration::New {
         displaced: displaced.iter().map(|s| s.incarnation.clone()).collect(),
@@ -133,9 +137,9 @@
 
     /// Registers a backend server whatever the start times say, unless its heartbeat may be a delayed
     /// one; others at its address are gone.
-    pub(super) fn readmit(&mut self, index: ids::LogIndex, readmission: Readmission) -> Effect {
-        let Readmission { server, sent_after } = readmission;
-        if !self.is_newest(&server, sent_after) {
+    pub(super) fn readmit(&mut self, index: ids::LogIndex, announcement: Announcement) -> Effect {
+        let Announcement { server, sent_after } = announcement;
+        if !self.is_newest(&server, sent_after) || self.has_left(&server, sent_after) {
             return Effect::Outdated;
         }
         let others = self.others_at(server.address, &server.incarnation);
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -7,6 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::leaving::Departure;
+use super::messages::Leave;
 use super::model::{Incarnation, Key, Server, ServerState, Vm};
 use super::ranges::{AssignedRange, Move, RangeMap};
 use crate::clock;
@@ -15,7 +17,7 @@
 /// Servers in state [`ServerState::Gone`] that are kept, so that updates can report their end.
 ///
 /// A follower that misses more of them between two polls gets the full state.
-const MAX_TOMBSTONES: usize = 256;
+pub(super) const MAX_TOMBSTONES: usize = 256;
 
 /// One replicated change of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,10 +26,10 @@
     /// Registers a VM, or changes its address.
     Vm(Vm),
     /// Registers a backend server, or changes its description.
-    Announce(Server),
+    Announce(Announcement),
     /// Registers a backend server although a later incarnation of its name or a later server at its
     /// address was registered, or it counted as gone itself.
-    Readmit(Readmission),
+    Readmit(Announcement),
     /// Sets the state of a backend server.
     #[serde(rename = "stand")]
     SetState {
@@ -38,6 +40,8 @@
         #[serde(rename = "standing")]
         state: ServerState,
     },
+    /// Records that a backend server leaves, also one that is not registered.
+    Leave(Leave),
     /// Records that a backend server is cold again.
     Warmup {
         /// Incarnation of the server.
@@ -107,13 +111,13 @@
     },
 }
 
-/// A backend server that runs although the log has a later one in its place.
+/// A backend server, as its heartbeat describes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Readmission {
+pub struct Announcement {
     /// Backend server.
     #[serde(flatten)]
     pub server: Server,
-    /// Log index that was applied before its heartbeat was sent.
+    /// Log index that was applied before the heartbeat was sent.
     #[serde(default = "unordered")]
     pub sent_after: ids::LogIndex,
 }
@@ -153,6 +157,9 @@
     /// Whether each zone that was ever evacuated is so now.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(super) evacuations: BTreeMap<ids::ZoneName, Versioned<bool>>,
+    /// Servers that left before they were registered.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(super) departures: BTreeMap<ids::ServerName, Departure>,
     /// Log index of the last order to start or end the evacuation of each zone.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(super) evacuation_orders: BTreeMap<ids::ZoneName, ids::LogIndex>,
@@ -200,8 +207,9 @@
                 };
                 self.vms.insert(name, versioned);
             }
-            Change::Announce(server) => self.announce(index, server),
-            Change::Readmit(readmission) => return self.readmit(index, readmission),
+            Change::Announce(announcement) => return self.announce(index, announcement),
+            Change::Readmit(announcement) => return self.readmit(index, announcement),
+            Change::Leave(leave) => return self.leave(index, &leave),
             Change::SetState { incarnation, state } => self.set_state(index, &incarnation, state),
             Change::Warmup {
                 incarnation,
@@ -253,10 +261,14 @@
     }
 
     /// Registers a backend server; an older one at the same address is gone.
-    fn announce(&mut self, index: ids::LogIndex, server: Server) {
+    fn announce(&mut self, index: ids::LogIndex, announcement: Announcement) -> Effect {
+        let Announcement { server, sent_after } = announcement;
+        if self.has_left(&server, sent_after) {
+            return Effect::Outdated;
+        }
         let previous = self.servers.get(&server.incarnation.server);
         if previous.is_some_and(|p| p.value.incarnation.start_ms > server.incarnation.start_ms) {
-            return;
+            return Effect::Outdated;
         }
         let same = previous.is_some_and(|p| p.value.incarnation == server.incarnation);
         let ended = previous.is_some_and(|p| p.value.state == ServerState::Gone);
@@ -266,7 +278,7 @@
                 .others_at(server.address, &server.incarnation)
                 .any(newer)
         {
-            return;
+            return Effect::Outdated;
         }
         let replaced: Vec<_> = self
             .others_at(server.address, &server.incarnation)
@@ -276,9 +288,11 @@
             self.set_state(index, &incarnation, ServerState::Gone);
         }
         self.insert(index, Arc::new(server));
+        Effect::Applied
     }
 
     pub(super) fn insert(&mut self, index: ids::LogIndex, server: Arc<Server>) {
+        self.departures.remove(&server.incarnation.server);
         let versioned = Versioned {
             changed: index,
             value: server,
--- a/src/fleet/tests/calls.rs
+++ b/src/fleet/tests/calls.rs
@@ -6,7 +6,7 @@
 
 use arbtest::arbtest;
 
-use super::server;
+use super::{announce, server};
 use crate::fleet::call_leases::Run;
 use crate::fleet::due_calls;
 use crate::fleet::leases::Leases;
@@ -118,7 +118,7 @@
         };
         for (i, name) in ["a", "b", "c", "d"].into_iter().enumerate() {
             let server = server(name, 1, u16::try_from(i).unwrap() + 1);
-            model.apply(Change::Announce(server.clone()));
+            model.apply(announce(server.clone()));
             let keys = <[HeldKey; SAMPLES.len()]>::default();
             model.servers.push(ModelServer { server, keys });
         }
@@ -183,7 +183,7 @@
             .iter_mut()
             .filter(|c| c.incarnation.server == ended)
             .for_each(|c| c.applied = None);
-        self.apply(Change::Announce(announced.clone()));
+        self.apply(announce(announced.clone()));
         let orphaned: Vec<_> = self
             .ranges(|r| {
                 let owner = r.next.as_ref().map(|n| &n.incarnation).or(r.owner.as_ref());
--- a/src/fleet/tests/cold.rs
+++ b/src/fleet/tests/cold.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::{incarnation, server};
+use super::{announce, incarnation, server};
 use crate::fleet::cold::{self, ColdServers};
 use crate::fleet::plan::{self, Candidate};
 use crate::fleet::{Change, Incarnation, Server, ServerState, Store, updates};
@@ -18,7 +18,7 @@
 
 fn announced(warmup: Duration) -> Store {
     let mut store = Store::default();
-    store.apply(1, Change::Announce(cold_server("a", warmup)));
+    store.apply(1, announce(cold_server("a", warmup)));
     store
 }
 
--- a/src/fleet/tests/evacuation.rs
+++ b/src/fleet/tests/evacuation.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::{incarnation, server};
+use super::{announce, incarnation, server};
 use crate::fleet::evacuation::{Progress, ZoneEvacuation};
 use crate::fleet::leases::Leases;
 use crate::fleet::load::LoadCounts;
@@ -21,7 +21,7 @@
         let port = u16::try_from(i).unwrap() + 1;
         let mut server = server(name, 1, port);
         server.zone = name[..1].into();
-        store.apply(1, Change::Announce(server));
+        store.apply(1, announce(server));
     }
     let shares = LoadCounts::default().shares("s");
     let candidates = candidates(&store, &Progress::default(), 0, Instant::now());
--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{heartbeat, incarnation, server};
+use super::{announce, heartbeat, incarnation, server};
 use crate::fleet::leases::Leases;
 use crate::fleet::messages::ReleasedRange;
 use crate::fleet::{Change, KeyRange, ServerState, Store};
@@ -14,8 +14,8 @@
 /// Servers `a` and `b`; `a` owns the first ten keys, and `b` is their next owner since index 5.
 fn fixture() -> (Store, KeyRange) {
     let mut store = Store::default();
-    store.apply(1, Change::Announce(server("a", 1, 1)));
-    store.apply(2, Change::Announce(server("b", 1, 2)));
+    store.apply(1, announce(server("a", 1, 1)));
+    store.apply(2, announce(server("b", 1, 2)));
     let service = "s".into();
     let ranges = vec![(incarnation("a", 1), vec![(0, 9)])];
     store.apply(3, Change::Reassign { service, ranges });
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -3,6 +3,7 @@
 mod evacuation;
 mod grant_client;
 mod leases;
+mod leaving;
 mod plan;
 mod ranges;
 mod registration;
@@ -13,6 +14,7 @@
 
 use super::messages::{Heartbeat, HeldRange};
 use super::model::{Incarnation, Server, ServerState};
+use super::store::{Announcement, Change};
 use crate::ids;
 
 fn incarnation(name: &str, start_ms: u64) -> Incarnation {
@@ -35,6 +37,12 @@
     }
 }
 
+/// The registration of a server whose heartbeat was sent a moment ago.
+fn announce(server: Server) -> Change {
+    let sent_after = ids::LogIndex::MAX;
+    Change::Announce(Announcement { server, sent_after })
+}
+
 /// A heartbeat of a server that holds some key ranges; it was sent a moment ago.
 fn heartbeat(name: &str, sequence: u64, held: &[(u16, u16)]) -> Heartbeat {
     let range = |&(from, to): &(u16, u16)| HeldRange { from, to, fence: 1 };
--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -1,19 +1,19 @@
-//! A model of backend servers that run, restart, drain and are cut off, of heartbeats that are delayed,
-//! and of another writer whose heartbeats vary each field, against the leases of a leader that changes.
+//! A model of backend servers that run, restart, leave and are cut off, of heartbeats and departures that
+//! are delayed, and of another writer whose heartbeats vary each field, against the leases of a leader that changes.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::{heartbeat, incarnation, server};
+use super::{announce, heartbeat, incarnation, server};
 use crate::fleet::evacuation::Progress;
 use crate::fleet::leases::Leases;
 use crate::fleet::load::LoadCounts;
-use crate::fleet::messages::{Heartbeat, HeldRange, Lease, ReleasedRange};
+use crate::fleet::messages::{Heartbeat, HeldRange, Lease, Leave, ReleasedRange};
 use crate::fleet::ranges::{AssignedRange, RangeMap};
 use crate::fleet::registration::{self, Registration};
 use crate::fleet::{
-    Change, Effect, Incarnation, Key, KeyRange, Readmission, Server, ServerState, Store,
+    Announcement, Change, Effect, Incarnation, Key, KeyRange, Server, ServerState, Store,
 };
 use crate::fleet::{plan, reassign};
 use crate::ids;
@@ -66,6 +66,8 @@
     processes: Vec<Process>,
     /// Leases that the other writer was granted; nobody holds these keys, but they count as granted.
     granted: Vec<(Incarnation, HeldRange, Instant)>,
+    /// Calls of servers that leave which are on their way, with the time at which they arrive.
+    delayed_leaves: Vec<(Instant, Leave)>,
     /// Heartbeats that are on their way, with the time at which they arrive.
     delayed: Vec<(Instant, Heartbeat)>,
     accepted: u32,
@@ -90,6 +92,7 @@
             leases: Leases::new(LEASE, now, 0),
             processes: [("a", 1), ("b", 2), ("c", 3)].map(process).into(),
             granted: Vec::new(),
+            delayed_leaves: Vec::new(),
             delayed: Vec::new(),
             accepted: 0,
         }
@@ -156,9 +159,15 @@
         let process = &mut self.processes[which];
         process.left = true;
         process.cut_until = self.now + Duration::from_secs(9);
-        let incarnation = process.server.incarnation.clone();
-        let state = ServerState::Left;
-        self.apply(Change::SetState { incarnation, state });
+        let incarnation = &process.server.incarnation;
+        let leave = Leave {
+            server: Arc::clone(&incarnation.server),
+            start_ms: Some(incarnation.start_ms).filter(|_| self.random.bool()),
+            sent_after: self.index,
+        };
+        let delay = if self.random.bool() { 0 } else { 12_000 };
+        let arrival = self.now + Duration::from_millis(self.random.u64(0..=delay));
+        self.delayed_leaves.push((arrival, leave));
     }
 
     /// Sends a heartbeat that arrives seconds later; its sender has given up waiting by then.
@@ -170,6 +179,10 @@
 
     fn deliver_delayed(&mut self) {
         let now = self.now;
+        let arrived = self.delayed_leaves.extract_if(.., |d| d.0 <= now);
+        for (_, leave) in arrived.collect::<Vec<_>>() {
+            self.apply(Change::Leave(leave));
+        }
         let arrived: Vec<_> = self.delayed.extract_if(.., |d| d.0 <= now).collect();
         for (_, heartbeat) in arrived {
             self.answer(&heartbeat);
@@ -457,7 +470,7 @@
 /// A store in which server `a` owns all keys.
 fn store() -> Store {
     let mut store = Store::default();
-    store.apply(1, Change::Announce(server("a", 1, 1)));
+    store.apply(1, announce(server("a", 1, 1)));
     let service = "s".into();
     let ranges = vec![(incarnation("a", 1), vec![(0, Key::MAX)])];
     store.apply(2, Change::Reassign { service, ranges });
@@ -492,7 +505,7 @@
         assert_eq!(decide(&later, true, LEASE), blocked);
         assert_eq!(decide(&later, false, ended), Registration::Ignored);
         let displaced = vec![incarnation("a", 1)];
-        let change = Box::new(Change::Announce(later.server.clone()));
+        let change = Box::new(announce(later.server.clone()));
         let registered = Registration::New { displaced, change };
         assert_eq!(decide(&later, true, ended), registered);
     }
@@ -500,7 +513,7 @@
 
 fn readmission(server: &Server, sent_after: ids::LogIndex) -> Change {
     let server = server.clone();
-    Change::Readmit(Readmission { server, sent_after })
+    Change::Readmit(Announcement { server, sent_after })
 }
 
 /// Guards against a heartbeat that arrives after its sender has ended and undoes the leave of the next
@@ -518,8 +531,8 @@
         (server("b", 2, 1), ServerState::Left),
     ] {
         let mut store = Store::default();
-        store.apply(10, Change::Announce(server("a", 1, 1)));
-        store.apply(20, Change::Announce(later.clone()));
+        store.apply(10, announce(server("a", 1, 1)));
+        store.apply(20, announce(later.clone()));
         let incarnation = later.incarnation.clone();
         store.apply(30, Change::SetState { incarnation, state });
         for sent_after in [0, 10, 15, 29] {
@@ -544,7 +557,7 @@
     let now = Instant::now();
     let leases = Leases::new(LEASE, now, 0);
     let mut store = Store::default();
-    store.apply(10, Change::Announce(server("a", 1, 1)));
+    store.apply(10, announce(server("a", 1, 1)));
     let (incarnation, state) = (incarnation("a", 1), ServerState::Gone);
     store.apply(20, Change::SetState { incarnation, state });
     let mut heartbeat = heartbeat("a", 5, &[]);
@@ -560,8 +573,8 @@
 fn a_displaced_server_comes_back_once_the_other_is_silent() {
     let now = Instant::now();
     let mut store = Store::default();
-    store.apply(1, Change::Announce(server("a", 1, 1)));
-    store.apply(2, Change::Announce(server("a", u64::MAX, 9)));
+    store.apply(1, announce(server("a", 1, 1)));
+    store.apply(2, announce(server("a", u64::MAX, 9)));
     let own = heartbeat("a", 5, &[]);
     let mut leases = Leases::new(LEASE, now, 0);
     let mut foreign = heartbeat("a", 1, &[]);
@@ -593,7 +606,7 @@
 #[test]
 fn a_lower_sequence_number_counts_after_a_gap_but_proves_no_release() {
     let mut store = store();
-    store.apply(4, Change::Announce(server("b", 1, 2)));
+    store.apply(4, announce(server("b", 1, 2)));
     let service = "s".into();
     let ranges = vec![(incarnation("b", 1), vec![(0, 9)])];
     store.apply(5, Change::Reassign { service, ranges });
@@ -618,7 +631,7 @@
 #[test]
 fn a_lease_counts_until_its_end_whatever_the_log_says_of_its_owner() {
     let mut store = store();
-    store.apply(4, Change::Announce(server("a", 2, 1)));
+    store.apply(4, announce(server("a", 2, 1)));
     let service = "s".into();
     let ranges = vec![(incarnation("a", 2), vec![(0, 9)])];
     store.apply(5, Change::Reassign { service, ranges });
--- a/src/fleet/tests/store.rs
+++ b/src/fleet/tests/store.rs
@@ -1,15 +1,15 @@
-use super::{incarnation, server};
+use super::{announce, incarnation, server};
 use crate::fleet::{Change, ServerState, Store, Vm, VmRole};
 
-fn announce(store: &mut Store, index: u64, name: &str, start_ms: u64, port: u16) {
-    store.apply(index, Change::Announce(server(name, start_ms, port)));
+fn register(store: &mut Store, index: u64, name: &str, start_ms: u64, port: u16) {
+    store.apply(index, announce(server(name, start_ms, port)));
 }
 
 #[test]
 fn a_later_incarnation_replaces_another_server_at_its_address() {
     let mut store = Store::default();
-    announce(&mut store, 1, "old", 10, 80);
-    announce(&mut store, 2, "new", 20, 80);
+    register(&mut store, 1, "old", 10, 80);
+    register(&mut store, 2, "new", 20, 80);
     assert!(store.server("old").is_none());
     assert!(store.server("new").is_some());
 }
@@ -17,18 +17,18 @@
 #[test]
 fn a_delayed_announcement_has_no_effect() {
     let mut store = Store::default();
-    announce(&mut store, 1, "new", 20, 80);
-    announce(&mut store, 2, "old", 10, 80);
+    register(&mut store, 1, "new", 20, 80);
+    register(&mut store, 2, "old", 10, 80);
     assert!(store.server("old").is_none());
-    announce(&mut store, 3, "new", 15, 81);
+    register(&mut store, 3, "new", 15, 81);
     assert_eq!(store.server("new").unwrap().incarnation.start_ms, 20);
 }
 
 #[test]
 fn a_restart_under_the_same_name_is_another_incarnation() {
     let mut store = Store::default();
-    announce(&mut store, 1, "a", 10, 80);
-    announce(&mut store, 2, "a", 11, 80);
+    register(&mut store, 1, "a", 10, 80);
+    register(&mut store, 2, "a", 11, 80);
     assert!(store.incarnation(&incarnation("a", 10)).is_none());
     assert!(store.incarnation(&incarnation("a", 11)).is_some());
 }
@@ -36,11 +36,11 @@
 #[test]
 fn a_gone_incarnation_does_not_come_back() {
     let mut store = Store::default();
-    announce(&mut store, 1, "a", 10, 80);
+    register(&mut store, 1, "a", 10, 80);
     let state = ServerState::Gone;
     let incarnation = incarnation("a", 10);
     store.apply(2, Change::SetState { incarnation, state });
-    announce(&mut store, 3, "a", 10, 80);
+    register(&mut store, 3, "a", 10, 80);
     assert!(store.server("a").is_none());
 }
 
--- a/src/fleet/tests/updates.rs
+++ b/src/fleet/tests/updates.rs
@@ -1,4 +1,4 @@
-use super::{incarnation, server};
+use super::{announce, incarnation, server};
 use crate::fleet::{Change, ServerState, Store, Vm, VmRole};
 use crate::fleet::{encoding, updates};
 use crate::table;
@@ -14,8 +14,8 @@
 fn updates_contain_what_changed_since_an_index() {
     let mut store = Store::default();
     let table = table::Store::default();
-    store.apply(1, Change::Announce(server("a", 1, 1)));
-    store.apply(2, Change::Announce(server("b", 1, 2)));
+    store.apply(1, announce(server("a", 1, 1)));
+    store.apply(2, announce(server("b", 1, 2)));
     let first = updates::since(0, 2, &table, &store);
     assert!(first.full);
     assert_eq!(first.servers.len(), 2);
@@ -35,7 +35,7 @@
 fn the_end_of_a_server_is_sent_only_to_who_knew_it() {
     let mut store = Store::default();
     let table = table::Store::default();
-    store.apply(1, Change::Announce(server("a", 1, 1)));
+    store.apply(1, announce(server("a", 1, 1)));
     store.apply(2, set_state("a", ServerState::Gone));
     assert_eq!(updates::since(1, 2, &table, &store).servers.len(), 1);
     assert!(updates::since(0, 2, &table, &store).servers.is_empty());
@@ -74,8 +74,8 @@
 fn full_updates_survive_compression() {
     let mut store = Store::default();
     let table = table::Store::default();
-    store.apply(1, Change::Announce(server("a", 1, 1)));
-    store.apply(2, Change::Announce(server("b", 1, 2)));
+    store.apply(1, announce(server("a", 1, 1)));
+    store.apply(2, announce(server("b", 1, 2)));
     let updates = updates::since(0, 2, &table, &store);
     let encoded = encoding::EncodedUpdates::Compressed(encoding::compress(&updates).unwrap());
     let decoded = encoding::decode(encoded).unwrap();
