Fleet: a VM is registered only by what was sent after its last change

A poll of an entry VM names no order, so a control VM that reads one of an earlier process late would set an old address, or remove the VM that has taken the address. The next poll of that VM repaired it. Not seen, not shown with real processes. Change: the registration carries the log index that the VM has (its poll names it; a control VM uses its own), and has no effect if the log has a later change of the name or the address. `Announcement` serves VMs and servers. Evidence: `a_vm_is_registered_only_by_what_was_sent_after_its_last_change` fails without the comparison.

--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -14,11 +14,11 @@
 use super::leases::{self, Leases};
 use super::load::LoadCounts;
 use super::messages::{Heartbeat, Observations, Renewal};
-use super::model::{Incarnation, Server, ServerState};
+use super::model::{Incarnation, Server, ServerState, Vm};
 use super::plan;
 use super::reassign;
 use super::registration::{self, Registration};
-use super::store::{Change, Effect, Store};
+use super::store::{Announcement, Change, Effect, Store};
 use crate::clock;
 use crate::control::command::{Applied, Command};
 use crate::control::propose;
@@ -210,7 +210,7 @@
     /// # Errors
     ///
     /// [`RequestError`] if the change was not or may not have been committed.
-    pub async fn register_vm(&self, vm: super::Vm) -> Result<(), RequestError> {
+    pub async fn register_vm(&self, vm: Announcement<Vm>) -> Result<(), RequestError> {
         self.propose_fleet(Change::Vm(vm)).await
     }
 
--- a/src/fleet/registration.rs
+++ b/src/fleet/registration.rs
@@ -74,7 +74,7 @@
         };
     }
     let announcement = Announcement {
-        server: sender.clone(),
+        subject: sender.clone(),
         sent_after,
     };
     let change = if is_later {
@@ -137,8 +137,15 @@
 
     /// Registers a backend server whatever the start times say, unless its heartbeat may be a delayed
     /// one; others at its address are gone.
-    pub(super) fn readmit(&mut self, index: ids::LogIndex, announcement: Announcement) -> Effect {
-        let Announcement { server, sent_after } = announcement;
+    pub(super) fn readmit(
+        &mut self,
+        index: ids::LogIndex,
+        announcement: Announcement<Server>,
+    ) -> Effect {
+        let Announcement {
+            subject: server,
+            sent_after,
+        } = announcement;
         if !self.is_newest(&server, sent_after) || self.has_left(&server, sent_after) {
             return Effect::Outdated;
         }
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -24,12 +24,12 @@
 #[serde(rename_all = "snake_case")]
 pub enum Change {
     /// Registers a VM, or changes its address.
-    Vm(Vm),
+    Vm(Announcement<Vm>),
     /// Registers a backend server, or changes its description.
-    Announce(Announcement),
+    Announce(Announcement<Server>),
     /// Registers a backend server although a later incarnation of its name or a later server at its
     /// address was registered, or it counted as gone itself.
-    Readmit(Announcement),
+    Readmit(Announcement<Server>),
     /// Sets the state of a backend server.
     #[serde(rename = "stand")]
     SetState {
@@ -111,13 +111,13 @@
     },
 }
 
-/// A backend server, as its heartbeat describes it.
+/// What a backend server or a VM says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// Backend server.
+pub struct Announcement<T> {
+    /// Its description.
     #[serde(flatten)]
-    pub server: Server,
-    /// Log index that was applied before the heartbeat was sent.
+    pub subject: T,
+    /// Log index that was applied before it said so.
     #[serde(default = "unordered")]
     pub sent_after: ids::LogIndex,
 }
@@ -197,16 +197,7 @@
     /// Applies a change; one that conflicts with the state has no effect.
     pub fn apply(&mut self, index: ids::LogIndex, change: Change) -> Effect {
         match change {
-            Change::Vm(vm) => {
-                let name = Arc::clone(&vm.name);
-                self.vms
-                    .retain(|n, v| *n == name || v.value.address != vm.address);
-                let versioned = Versioned {
-                    value: vm,
-                    changed: index,
-                };
-                self.vms.insert(name, versioned);
-            }
+            Change::Vm(announcement) => return self.register_vm(index, announcement),
             Change::Announce(announcement) => return self.announce(index, announcement),
             Change::Readmit(announcement) => return self.readmit(index, announcement),
             Change::Leave(leave) => return self.leave(index, &leave),
@@ -260,9 +251,31 @@
         Effect::Applied
     }
 
+    /// Registers a VM; another one at its address is gone.
+    fn register_vm(&mut self, index: ids::LogIndex, announcement: Announcement<Vm>) -> Effect {
+        let vm = announcement.subject;
+        let is_replaced =
+            |v: &Versioned<Vm>| v.value.name == vm.name || v.value.address == vm.address;
+        let mut replaced = self.vms.values().filter(|v| is_replaced(v));
+        if replaced.any(|v| v.changed > announcement.sent_after) {
+            return Effect::Outdated;
+        }
+        self.vms.retain(|_, v| !is_replaced(v));
+        let name = Arc::clone(&vm.name);
+        let versioned = Versioned {
+            value: vm,
+            changed: index,
+        };
+        self.vms.insert(name, versioned);
+        Effect::Applied
+    }
+
     /// Registers a backend server; an older one at the same address is gone.
-    fn announce(&mut self, index: ids::LogIndex, announcement: Announcement) -> Effect {
-        let Announcement { server, sent_after } = announcement;
+    fn announce(&mut self, index: ids::LogIndex, announcement: Announcement<Server>) -> Effect {
+        let Announcement {
+            subject: server,
+            sent_after,
+        } = announcement;
         if self.has_left(&server, sent_after) {
             return Effect::Outdated;
         }
--- a/src/fleet/tests/leaving.rs
+++ b/src/fleet/tests/leaving.rs
@@ -17,7 +17,10 @@
 }
 
 fn announcement(server: Server, sent_after: u64) -> Change {
-    Change::Announce(Announcement { server, sent_after })
+    Change::Announce(Announcement {
+        subject: server,
+        sent_after,
+    })
 }
 
 fn state(store: &Store) -> Option<ServerState> {
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use super::messages::{Heartbeat, HeldRange};
-use super::model::{Incarnation, Server, ServerState};
+use super::model::{Incarnation, Server, ServerState, Vm};
 use super::store::{Announcement, Change};
 use crate::ids;
 
@@ -39,8 +39,18 @@
 
 /// The registration of a server whose heartbeat was sent a moment ago.
 fn announce(server: Server) -> Change {
-    let sent_after = ids::LogIndex::MAX;
-    Change::Announce(Announcement { server, sent_after })
+    Change::Announce(Announcement {
+        subject: server,
+        sent_after: ids::LogIndex::MAX,
+    })
+}
+
+/// The registration of a VM that is up to date.
+fn register_vm(vm: Vm) -> Change {
+    Change::Vm(Announcement {
+        subject: vm,
+        sent_after: ids::LogIndex::MAX,
+    })
 }
 
 /// A heartbeat of a server that holds some key ranges; it was sent a moment ago.
--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -513,7 +513,10 @@
 
 fn readmission(server: &Server, sent_after: ids::LogIndex) -> Change {
     let server = server.clone();
-    Change::Readmit(Announcement { server, sent_after })
+    Change::Readmit(Announcement {
+        subject: server,
+        sent_after,
+    })
 }
 
 /// Guards against a heartbeat that arrives after its sender has ended and undoes the leave of the next
--- a/src/fleet/tests/store.rs
+++ b/src/fleet/tests/store.rs
@@ -1,5 +1,5 @@
-use super::{announce, incarnation, server};
-use crate::fleet::{Change, ServerState, Store, Vm, VmRole};
+use super::{announce, incarnation, register_vm, server};
+use crate::fleet::{Announcement, Change, Effect, ServerState, Store, Vm, VmRole};
 
 fn register(store: &mut Store, index: u64, name: &str, start_ms: u64, port: u16) {
     store.apply(index, announce(server(name, start_ms, port)));
@@ -53,8 +53,45 @@
         role: VmRole::Entry,
     };
     let mut store = Store::default();
-    store.apply(1, Change::Vm(vm("a")));
-    store.apply(2, Change::Vm(vm("b")));
+    store.apply(1, register_vm(vm("a")));
+    store.apply(2, register_vm(vm("b")));
     let names: Vec<_> = store.vms().map(|v| v.name.to_string()).collect();
     assert_eq!(names, ["b"]);
 }
+
+/// Guards against a poll of an earlier process that a suspended control VM reads, and which changes the
+/// address of a VM or removes the one that has taken its address.
+#[test]
+fn a_vm_is_registered_only_by_what_was_sent_after_its_last_change() {
+    let vm = |name: &str, port| Vm {
+        name: name.into(),
+        zone: "z".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        role: VmRole::Entry,
+    };
+    let mut store = Store::default();
+    store.apply(10, register_vm(vm("a", 1)));
+    store.apply(20, register_vm(vm("a", 2)));
+    store.apply(30, register_vm(vm("b", 1)));
+    let mut register = |subject, sent_after| {
+        let announcement = Announcement {
+            subject,
+            sent_after,
+        };
+        store.apply(40, Change::Vm(announcement))
+    };
+    assert_eq!(register(vm("a", 1), 15), Effect::Outdated);
+    assert_eq!(
+        register(vm("a", 1), 25),
+        Effect::Outdated,
+        "b has its address"
+    );
+    assert_eq!(
+        register(vm("c", 3), 0),
+        Effect::Applied,
+        "nothing is replaced"
+    );
+    assert_eq!(register(vm("a", 1), 30), Effect::Applied);
+    let names: Vec<_> = store.vms().map(|v| v.name.to_string()).collect();
+    assert_eq!(names, ["a", "c"]);
+}
--- a/src/fleet/tests/updates.rs
+++ b/src/fleet/tests/updates.rs
@@ -1,4 +1,4 @@
-use super::{announce, incarnation, server};
+use super::{announce, incarnation, register_vm, server};
 use crate::fleet::{Change, ServerState, Store, Vm, VmRole};
 use crate::fleet::{encoding, updates};
 use crate::table;
@@ -95,8 +95,8 @@
         address: ([127, 0, 0, 1], port).into(),
         role: VmRole::Entry,
     };
-    store.apply(1, Change::Vm(vm("a", 1)));
-    store.apply(2, Change::Vm(vm("b", 2)));
+    store.apply(1, register_vm(vm("a", 1)));
+    store.apply(2, register_vm(vm("b", 2)));
     assert_eq!(updates::since(1, 2, &table, &store).vms, [vm("b", 2)]);
     assert_eq!(updates::since(0, 2, &table, &store).vms.len(), 2);
 }
