Gateway: a request that waits is not sent to an owner that leaves

Cause: whether the owner takes requests was asked before the queue of its relay VM only. A server that was gone had also kept its last description, as ready, for the requests that waited for it. Change: `may_send` is asked while a request waits, before it leaves the queue, and before it is sent directly. The request then goes to the next owner, or is refused at once if none is known. Removed servers are marked as gone. Evidence: the new test failed before with a response of the server that had left in place of the refusal.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -147,6 +147,11 @@
         *self.server.borrow_mut() = server;
     }
 
+    /// Records that the server is gone, for requests that still wait for it.
+    pub fn set_gone(&self) {
+        Arc::make_mut(&mut self.server.borrow_mut()).state = ServerState::Gone;
+    }
+
     /// Limits the requests to the server for `duration`, if its service limits those to cold ones.
     pub fn set_cold(&self, duration: Duration) {
         self.limiter.borrow_mut().set_cold(duration, clock::now());
--- a/src/gateway/relayed.rs
+++ b/src/gateway/relayed.rs
@@ -110,7 +110,8 @@
         }
         if is_relayed {
             let routing = self.gateway.routing.borrow();
-            if !selection::has_capacity(&backend, &self.selection_context(&routing)) {
+            let has_capacity = selection::has_capacity(&backend, &self.selection_context(&routing));
+            if !has_capacity || !self.may_send(&backend) {
                 return Err(DIRECT_RETRY_AFTER);
             }
         }
@@ -155,7 +156,8 @@
             deadline: deadline.unwrap_or(self.deadline),
         };
         let queues = &self.gateway.relay.queues;
-        let seat = queues.acquire(backend, request).await?;
+        let may_send = || self.may_send(backend);
+        let seat = queues.acquire(backend, request, may_send).await?;
         let direct = self.attempt();
         let attempt = Attempt {
             // All places may be taken by this VM.
@@ -164,8 +166,8 @@
             ..direct
         };
         self.wait_until_warm(backend).await?;
-        // The evacuation may have begun while the request waited.
-        if self.is_evacuated(backend) {
+        // The owner may have changed while the request waited.
+        if !may_send() {
             return Err(DIRECT_RETRY_AFTER);
         }
         let attempted = SentAttempt::new(Rc::clone(backend));
@@ -183,10 +185,12 @@
         })
     }
 
-    /// Whether the owner gets no more requests, as its zone is evacuated.
-    fn is_evacuated(&self, backend: &Backend) -> bool {
+    /// Whether an owner still gets requests: it is not about to leave, and its zone is not evacuated.
+    pub(super) fn may_send(&self, backend: &Backend) -> bool {
+        let now = clock::now();
         let grace = self.gateway.evacuation.get();
-        backend.is_evacuated(grace.mul_f64(OWNER_EVACUATION_RATIO), clock::now())
+        backend.accepts_requests(self.gateway.drain.get(), now)
+            && !backend.is_evacuated(grace.mul_f64(OWNER_EVACUATION_RATIO), now)
     }
 
     /// Waits until a cold server may get the next request.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -180,8 +180,10 @@
         body: &Bytes,
         attempts: &mut Attempts,
     ) -> Option<Response> {
-        match self.send(backend, body).await {
+        match self.send(Rc::clone(&backend), body).await {
             Ok(SendResult { result, sent }) => self.handle_outcome(&sent, result, attempts),
+            // The key gets another owner, if it doesn't have one by now.
+            Err(_) if !self.may_send(&backend) => None,
             Err(after) => {
                 attempts.unavailable = Some(Unavailable::Overloaded(after));
                 Some(self.give_up(std::mem::take(attempts)))
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -97,7 +97,8 @@
                 .iter()
                 .map(|s| &s.incarnation.server)
                 .collect();
-            self.backends.retain(|name, _| names.contains(&name));
+            let removed = self.backends.extract_if(|name, _| !names.contains(&name));
+            removed.for_each(|(_, backend)| backend.set_gone());
         }
         let changed =
             updates.full || table_changed || !updates.servers.is_empty() || !updates.vms.is_empty();
@@ -271,14 +272,17 @@
 
     fn upsert_server(&mut self, server: Arc<Server>) {
         let name = Arc::clone(&server.incarnation.server);
-        if server.state == ServerState::Gone {
-            self.backends.remove(&name);
-            return;
-        }
-        match self.backends.get(&name) {
-            Some(old) if old.server().incarnation == server.incarnation => old.update(server),
+        let known = self.backends.get(&name);
+        let known = known.filter(|b| b.server().incarnation == server.incarnation);
+        match known {
+            Some(known) if server.state != ServerState::Gone => known.update(server),
             _ => {
-                self.backends.insert(name, Backend::new(server));
+                if let Some(ended) = self.backends.remove(&name) {
+                    ended.set_gone();
+                }
+                if server.state != ServerState::Gone {
+                    self.backends.insert(name, Backend::new(server));
+                }
             }
         }
     }
--- a/src/gateway/seat_queue.rs
+++ b/src/gateway/seat_queue.rs
@@ -45,16 +45,21 @@
 }
 
 impl SeatQueues {
-    /// Waits for a place at a backend server.
+    /// Waits for a place at a backend server, for as long as `may_send` allows to send to it.
     ///
     /// # Errors
     ///
-    /// The time until capacity is expected, if the request can't be served by its deadline.
-    pub async fn acquire(
+    /// The time until capacity is expected, if the request can't be served by its deadline or may not
+    /// be sent any more.
+    pub async fn acquire<F>(
         &self,
         backend: &Backend,
         request: SeatRequest,
-    ) -> Result<SeatGuard, Duration> {
+        may_send: F,
+    ) -> Result<SeatGuard, Duration>
+    where
+        F: Fn() -> bool,
+    {
         let now = clock::now();
         let limit = limit(backend, now);
         let queue = {
@@ -63,7 +68,7 @@
             let new = || Rc::new(SeatQueue::new(limit, now));
             Rc::clone(queues.entry(incarnation).or_insert_with(new))
         };
-        queue.acquire(backend, request).await
+        queue.acquire(backend, request, may_send).await
     }
 
     /// Forgets queues that have not been used for a while.
@@ -103,11 +108,15 @@
         seats.set_pace(pace);
     }
 
-    async fn acquire(
+    async fn acquire<F>(
         self: &Rc<Self>,
         backend: &Backend,
         request: SeatRequest,
-    ) -> Result<SeatGuard, Duration> {
+        may_send: F,
+    ) -> Result<SeatGuard, Duration>
+    where
+        F: Fn() -> bool,
+    {
         let last_place_at = Seats::last_place_at(&request);
         let deadline = request.deadline;
         let now = clock::now();
@@ -142,6 +151,7 @@
                 }
                 Ok(Ok(Decision::Refuse(after))) => return Err(after),
                 Ok(Err(_)) => return Err(RECHECK_INTERVAL),
+                Err(_) if !may_send() => return Err(RECHECK_INTERVAL),
                 Err(_) => {
                     let now = clock::now();
                     self.update(backend, now);
--- a/src/gateway/tests/relay.rs
+++ b/src/gateway/tests/relay.rs
@@ -10,10 +10,11 @@
 use serde_json::Value;
 
 use super::mock::{
-    Action, Fixture, MockBackend, header, read_message, send_text, status_code, wait_until,
+    Action, Fixture, MockBackend, header, owned_ranges, read_message, send_text, status_code,
+    wait_until,
 };
 use crate::fleet::updates::Updates;
-use crate::fleet::{Vm, VmRole};
+use crate::fleet::{Incarnation, Server, ServerState, Vm, VmRole};
 use crate::gateway::caller::{self, Origin, SHUTDOWN_KEEP_ALIVE};
 use crate::gateway::relay;
 use crate::runtime;
@@ -298,6 +299,81 @@
     });
 }
 
+/// Updates with a new state of the server that owns all keys, and with the next owner, if there is one.
+fn owner_leaves(
+    address: SocketAddr,
+    state: ServerState,
+    next_owner: Option<&MockBackend>,
+) -> Updates {
+    let server = |name: &str, address, state| {
+        Arc::new(Server {
+            incarnation: Incarnation {
+                server: name.into(),
+                start_ms: 1,
+            },
+            service: "owned".into(),
+            address,
+            zone: "near".into(),
+            slots: 4,
+            state,
+            warmup: Duration::ZERO,
+        })
+    };
+    let next = next_owner.map(|b| server("next-owner", b.address, ServerState::Ready));
+    let owner = next.as_ref().map(|n| &*n.incarnation.server);
+    let ranges = vec![owned_ranges(owner)];
+    let mut servers = vec![server("owner", address, state)];
+    servers.extend(next.clone());
+    Updates {
+        index: 3,
+        servers,
+        ranges,
+        ..Updates::default()
+    }
+}
+
+/// Guards against requests that reach a server long after it said that it leaves, as they waited in its
+/// queue, and against a refusal although the next owner is known.
+#[test]
+fn a_request_that_waits_is_not_sent_to_an_owner_that_leaves() {
+    let states = [ServerState::Draining, ServerState::Left, ServerState::Gone];
+    for (state, has_next_owner) in states.into_iter().flat_map(|s| [(s, false), (s, true)]) {
+        runtime::run(async move {
+            let slow = vec![Action::Pause(Duration::from_millis(800)), OK];
+            let backend = MockBackend::start(vec![slow; 9]);
+            let next_owner = MockBackend::start(vec![vec![OK]]);
+            let pair = Pair::new(&backend);
+            let mut callers = Vec::new();
+            for id in 0..5 {
+                let mut caller = pair.sender.connect().await;
+                let request = KEYED.replace("x-request: 7", &format!("x-request: {id}"));
+                send_text(&mut caller, &request).await;
+                callers.push(caller);
+                let expected = (callers.len().min(4), callers.len().saturating_sub(4));
+                wait_until(|| pair.relayed() == expected).await;
+            }
+            for fixture in [&pair.sender, &pair.relay] {
+                let next = Some(&next_owner).filter(|_| has_next_owner);
+                let updates = owner_leaves(backend.address, state, next);
+                assert!(fixture.gateway.routing.borrow_mut().apply(updates));
+            }
+            wait_until(|| pair.relayed() == (4, 0)).await;
+            let mut statuses = Vec::new();
+            for mut caller in callers {
+                let response = read_message(&mut caller, &mut String::new()).await.unwrap();
+                statuses.push(status_code(&response));
+            }
+            let last = if has_next_owner { 200 } else { 503 };
+            assert_eq!(statuses, [200, 200, 200, 200, last]);
+            assert_eq!(backend.requests.borrow().len(), 4);
+            assert_eq!(
+                next_owner.requests.borrow().len(),
+                usize::from(has_next_owner)
+            );
+        });
+    }
+}
+
 /// Fails if requests wait for or are refused by a relay VM that is down, or if it is asked again at
 /// once.
 #[test]
