Gateway: nothing is read ahead behind a response that may break off

Cause: up to 16 requests of a connection are passed on at once, and a response of over 64 KiB is sent while it arrives. When it breaks off the connection must end, and what was passed on behind it was dropped. Change: an entry VM notes for each route whether its responses were held back whole, and passes nothing on behind a request of a route with a longer one in the last minute, or without any so far. Callers repeat what was not read. Evidence: the first new test fails when read-ahead is left on.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,7 +1,9 @@
 //! Serving of one caller connection.
 //!
 //! Pipelined requests are read ahead and processed concurrently; responses are sent in
-//! the order of the requests. When the caller disconnects, its requests are dropped
+//! the order of the requests. A response that is sent while it arrives may break off, and then
+//! the connection ends with it, so nothing is read ahead behind a request of a route with such
+//! responses: callers send again what was not read. When the caller disconnects, its requests are dropped
 //! together with their connections to backend servers.
 
 use std::future;
@@ -73,11 +75,15 @@
     let mut pending = FuturesOrdered::new();
     let mut member = gateway.stop.register();
     let mut accepts_requests = true;
+    let mut reads_ahead = true;
     let mut last_activity = clock::now();
     let mut shutdown_deadline: Option<Instant> = None;
     loop {
         let limits = Rc::clone(&gateway.routing.borrow().limits);
-        while accepts_requests && pending.len() < MAX_PIPELINED_REQUESTS {
+        while accepts_requests
+            && pending.len() < MAX_PIPELINED_REQUESTS
+            && (reads_ahead || pending.is_empty())
+        {
             match connection.decode_request_head(head_limits(origin, &limits)) {
                 Ok(None) => break,
                 Err(error) => {
@@ -86,6 +92,7 @@
                 }
                 Ok(Some(head)) if head.body.is_done() => {
                     accepts_requests = keeps_alive(&head.parts);
+                    reads_ahead = has_short_response(&gateway, &head.parts);
                     let request = BufferedRequest {
                         parts: head.parts,
                         body: Bytes::new(),
@@ -162,6 +169,13 @@
     }
 }
 
+/// Whether the response to a request will be sent once it is complete, as far as its route tells.
+fn has_short_response(gateway: &Gateway, parts: &request::Parts) -> bool {
+    let routing = gateway.routing.borrow();
+    let route = forward::host(parts).and_then(|h| routing.lookup.find(h, parts.uri.path()));
+    route.is_none_or(|r| routing.has_short_responses(&r.name, clock::now()))
+}
+
 /// Waits for a response, received bytes, or a shutdown.
 async fn next_event<F>(
     connection: &mut HttpConnection,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -17,7 +17,7 @@
 use super::head::{self, ForwardedHead};
 use super::hedge::{self, HedgeTimes};
 use super::relayed::SendResult;
-use super::response::{BackendResponse, LocalResponse, Response, ResponseBody};
+use super::response::{BackendResponse, LocalResponse, Response};
 use super::routing::KeyOwner;
 use super::selection::{self, SelectionContext};
 use super::waiting::Waiter;
@@ -362,18 +362,8 @@
         let log_attempt = |outcome, reason| self.log_attempt(backend, connection, outcome, reason);
         match outcome {
             Outcome::Responded(response) => {
-                let failed = response.status.is_server_error();
-                let latency = self.relative_latency(sent, failed || relayed);
-                let reported = head::reported_load(&response.headers, &self.gateway.header_names);
-                backend.record_response(latency, reported, failed);
-                if let Some(latency) = latency {
-                    backend.record_latency(latency, sent.load);
-                }
-                if let Some(key) = self.key {
-                    let mut routing = self.gateway.routing.borrow_mut();
-                    routing.record_held(&self.service, key);
-                }
-                if !failed || at_most_once || matches!(response.body, ResponseBody::Streaming(_)) {
+                self.record_response(sent, &response, relayed);
+                if !response.status.is_server_error() || at_most_once || response.is_streamed() {
                     return Some(self.complete(response));
                 }
                 attempts.fallback = Some(response);
@@ -448,6 +438,23 @@
         None
     }
 
+    /// Records what a response tells about its server, its route and the key of the request.
+    fn record_response(&self, sent: &SentAttempt, response: &BackendResponse, relayed: bool) {
+        let backend = &sent.backend;
+        let failed = response.status.is_server_error();
+        let latency = self.relative_latency(sent, failed || relayed);
+        let reported = head::reported_load(&response.headers, &self.gateway.header_names);
+        backend.record_response(latency, reported, failed);
+        if let Some(latency) = latency {
+            backend.record_latency(latency, sent.load);
+        }
+        let mut routing = self.gateway.routing.borrow_mut();
+        routing.record_length(&self.route.name, response.is_streamed(), clock::now());
+        if let Some(key) = self.key {
+            routing.record_held(&self.service, key);
+        }
+    }
+
     /// Request time relative to the route's average, corrected for the load at the server.
     fn relative_latency(&self, sent: &SentAttempt, failed: bool) -> Option<f64> {
         if failed {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -114,6 +114,11 @@
 }
 
 impl BackendResponse {
+    /// Whether the response is sent while it arrives.
+    pub const fn is_streamed(&self) -> bool {
+        matches!(self.body, ResponseBody::Streaming(_))
+    }
+
     /// Encodes the head and the buffered part of the body; `close` if it is the last on its
     /// connection.
     pub fn encode(&self, close: bool) -> Vec<u8> {
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -1,6 +1,6 @@
 //! Routing state that an entry VM receives from the control VMs.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -44,10 +44,15 @@
     misses: HashMap<(ids::ServiceName, Key), Miss>,
     /// Running average of each route's request time, in seconds.
     pub(super) route_secs: HashMap<table::model::RouteName, f64>,
+    /// Until when the responses of each route count as long; routes without a response are missing.
+    long_until: HashMap<table::model::RouteName, Instant>,
     /// Evacuated zones, and since when this VM knows of each.
     evacuated: HashMap<ids::ZoneName, Instant>,
 }
 
+/// How long the responses of a route count as long after one was.
+const LONG_RESPONSE_LIFETIME: Duration = Duration::from_mins(1);
+
 /// Pause after an owner said that it doesn't hold a key; doubles with each further time.
 ///
 /// An update of the owner may arrive a moment before the owner's grant.
@@ -88,6 +93,8 @@
         if let Some(update) = updates.table {
             let table = update.apply(self.table.as_deref());
             self.lookup = table::Lookup::new(&table);
+            let names: HashSet<_> = table.routes.iter().map(|r| &r.name).collect();
+            self.long_until.retain(|name, _| names.contains(name));
             self.limits = Rc::new(table.limits.clone());
             self.table = Some(Arc::new(table));
         }
@@ -270,6 +277,20 @@
         }
     }
 
+    /// Records whether a response was too long to be held back whole.
+    pub fn record_length(&mut self, route: &table::model::RouteName, is_long: bool, now: Instant) {
+        let known = self.long_until.entry(Arc::clone(route)).or_insert(now);
+        if is_long {
+            *known = now + LONG_RESPONSE_LIFETIME;
+        }
+    }
+
+    /// Whether the responses of a route are short, as far as is known.
+    pub fn has_short_responses(&self, route: &table::model::RouteName, now: Instant) -> bool {
+        let long_until = self.long_until.get(route);
+        long_until.is_some_and(|until| now >= *until)
+    }
+
     fn upsert_server(&mut self, server: Arc<Server>) {
         let name = Arc::clone(&server.incarnation.server);
         let known = self.backends.get(&name);
--- a/src/gateway/tests/connections.rs
+++ b/src/gateway/tests/connections.rs
@@ -134,6 +134,54 @@
     });
 }
 
+/// Guards against requests that are passed on and get no response, as the one before them broke off and
+/// ended the connection.
+#[test]
+fn nothing_is_read_ahead_behind_a_response_that_may_break_off() {
+    runtime::run(async {
+        let half = "y".repeat(MAX_BUFFERED_BYTES * 2);
+        let long = |length: usize| {
+            let head = "HTTP/1.1 200 OK\nx-request: ID\nx-signature: s";
+            let response = format!("{head}\ncontent-length: {length}\n\n{half}");
+            Action::Send(response.leak())
+        };
+        let script = vec![
+            vec![long(half.len())],
+            vec![long(half.len() * 2), Action::Close],
+            vec![OK],
+            vec![OK],
+        ];
+        let backend = MockBackend::start(script);
+        let fixture = Fixture::new(&[&backend]);
+        let request = |id| format!("GET /safe/{id} HTTP/1.1\nhost: h\nx-request: {id}\n\n");
+        assert_eq!(status_code(&fixture.request(&request(1)).await), 200);
+        let mut caller = fixture.connect().await;
+        let requests = [2, 3, 4].map(request).concat();
+        send_text(&mut caller, &requests).await;
+        assert_eq!(read_message(&mut caller, &mut String::new()).await, None);
+        monoio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(
+            backend.requests.borrow().len(),
+            2,
+            "those behind were not passed on"
+        );
+    });
+}
+
+/// Guards against pipelined requests that are processed one after the other.
+#[test]
+fn requests_behind_a_short_response_are_passed_on_at_once() {
+    runtime::run(async {
+        let backend = MockBackend::start(vec![vec![OK], vec![Action::Wait], vec![OK]]);
+        let fixture = Fixture::new(&[&backend]);
+        let request = |id| format!("GET /safe/{id} HTTP/1.1\nhost: h\nx-request: {id}\n\n");
+        assert_eq!(status_code(&fixture.request(&request(1)).await), 200);
+        let mut caller = fixture.connect().await;
+        send_text(&mut caller, &[2, 3].map(request).concat()).await;
+        wait_until(|| backend.requests.borrow().len() == 3).await;
+    });
+}
+
 #[test]
 fn a_malformed_request_is_rejected_after_earlier_responses() {
     runtime::run(async {
