Fleet: a service that shrinks keeps few key ranges for each server

Cause: each of the up to 1,024 ranges of the first assignment has a fence and a token of its own, so that they were never joined. With eight or nine servers left, the responses to heartbeats, which name all ranges of a server, were over 4 KiB, and servers take none that is longer. Change: from 48 ranges a server on, keys without an owner go to the owner of the keys next to them unless that is overloaded, and neighbouring ranges of one owner are joined, under the higher fence. Why it works: the fence of a joined range is above all with which others had its keys, and its owner holds them.

--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -277,10 +277,12 @@
             .server(&incarnation.server);
         self.journal
             .record(event.detail(&format!("{} key ranges", assigned.len())));
+        let join = self.has_excess_ranges(service, incarnation, assigned.len());
         self.propose_fleet(super::Change::Assign {
             service: Arc::clone(service),
             incarnation: incarnation.clone(),
             ranges: assigned,
+            join,
         })
         .await
     }
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -11,6 +11,10 @@
 /// heartbeats stay small.
 pub const MAX_RANGES_PER_SERVER: usize = 64;
 
+/// Number of ranges per backend server above which it gets keys next to its own, and neighbouring ranges
+/// are joined, so that responses to its heartbeats stay small also if many servers leave.
+pub const JOINED_RANGES: usize = 48;
+
 /// Least ratio of a load to the mean from which on a backend server gives away keys.
 const OVERLOAD_RATIO: f64 = 1.4;
 
@@ -213,17 +217,28 @@
     fn assign_unowned(&mut self) {
         let max_share = 1.0 / RANGES_PER_MEAN_LOAD / to_f64(self.candidates.len());
         let mut loads = self.loads();
-        let mut ranges = Vec::new();
-        for range in std::mem::take(&mut self.ranges) {
+        let mut counts = self.range_counts();
+        let mut ranges: Vec<PlannedRange> = Vec::new();
+        let mut rest = std::mem::take(&mut self.ranges).into_iter().peekable();
+        while let Some(range) = rest.next() {
             if range.target.is_some() {
                 ranges.push(range);
                 continue;
             }
+            let behind = rest.peek().and_then(|r| r.target);
             let mut from = Some(range.from);
             while let Some(first) = from.filter(|f| *f <= range.to) {
                 let end = self.shares.prefix_end(first, range.to, max_share);
                 let last = end.unwrap_or(first);
-                let target = self.least_loaded(&loads);
+                let before = ranges.last().and_then(|r| r.target);
+                let target = self.least_loaded(&loads).map(|least| {
+                    let is_full = counts.get(least).is_some_and(|c| *c >= JOINED_RANGES);
+                    let neighbour = self.free_neighbour([before, behind], &loads);
+                    neighbour.filter(|_| is_full).unwrap_or(least)
+                });
+                if let Some(count) = target.and_then(|t| counts.get_mut(t)) {
+                    *count += 1;
+                }
                 if let Some(load) = target.and_then(|t| loads.get_mut(t)) {
                     let weight = target.and_then(|t| self.candidates.get(t));
                     *load +=
@@ -303,6 +318,19 @@
             .map(|(i, _)| i)
     }
 
+    /// The less loaded one of the owners next to a range that accepts keys and is not overloaded.
+    fn free_neighbour(&self, owners: [Option<usize>; 2], loads: &[f64]) -> Option<usize> {
+        let (_, overload) = self.tolerated_ratios();
+        let weights: f64 = self.candidates.iter().map(|c| c.weight).sum();
+        let accepting = owners
+            .into_iter()
+            .flatten()
+            .filter(|i| self.candidates.get(*i).is_some_and(|c| c.accepts_keys));
+        let with_loads = accepting.filter_map(|i| Some((i, *loads.get(i)?)));
+        let free = with_loads.filter(|(_, load)| *load < overload / weights);
+        free.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(i, _)| i)
+    }
+
     fn weight(&self, candidate: usize) -> f64 {
         self.candidates.get(candidate).map_or(1.0, |c| c.weight)
     }
@@ -407,6 +435,17 @@
         Some(self.shares.range_share(first, last))
     }
 
+    /// Number of ranges of each candidate.
+    fn range_counts(&self) -> Vec<usize> {
+        let mut counts = vec![0; self.candidates.len()];
+        for target in self.ranges.iter().filter_map(|r| r.target) {
+            if let Some(count) = counts.get_mut(target) {
+                *count += 1;
+            }
+        }
+        counts
+    }
+
     /// Load of each candidate, divided by its weight.
     fn loads(&self) -> Vec<f64> {
         let mut loads = vec![0.0; self.candidates.len()];
--- a/src/fleet/ranges.rs
+++ b/src/fleet/ranges.rs
@@ -134,6 +134,40 @@
         });
     }
 
+    /// Number of ranges of an owner.
+    pub fn owned_count(&self, incarnation: &Incarnation) -> usize {
+        let owned = |r: &&KeyRange| r.owner.as_ref() == Some(incarnation);
+        self.iter().filter(owned).count()
+    }
+
+    /// Whether an owner keeps two neighbouring ranges.
+    pub fn is_joinable(&self, incarnation: &Incarnation) -> bool {
+        let mut pairs = self.ranges.iter().zip(self.ranges.iter().skip(1));
+        pairs.any(|(left, right)| is_kept(left, incarnation) && is_kept(right, incarnation))
+    }
+
+    /// Joins neighbouring ranges that an owner keeps, under the higher fence.
+    ///
+    /// Ranges that it gets by the change at `index` have tokens that it needs, so one of them may be joined
+    /// with ranges that the owner has already, but not with others of the change.
+    pub fn join(&mut self, index: ids::LogIndex, incarnation: &Incarnation) {
+        self.ranges.dedup_by(|right, left| {
+            let is_new = left.fence == index && right.fence == index;
+            let needs_both = is_new && left.token != right.token;
+            if needs_both || !is_kept(left, incarnation) || !is_kept(right, incarnation) {
+                return false;
+            }
+            if right.fence > left.fence {
+                left.fence = right.fence;
+                left.token = right.token.take();
+            }
+            left.to = right.to;
+            left.changed = index;
+            true
+        });
+        self.changed = index;
+    }
+
     /// Applies edits, each a first key, a last key and a value for `change`; splits ranges.
     ///
     /// Takes one pass over all ranges and edits: there are thousands of both after the first
@@ -195,3 +229,8 @@
         });
     }
 }
+
+/// Whether a range stays with an owner.
+fn is_kept(range: &KeyRange, incarnation: &Incarnation) -> bool {
+    range.next.is_none() && range.owner.as_ref() == Some(incarnation)
+}
--- a/src/fleet/reassign.rs
+++ b/src/fleet/reassign.rs
@@ -19,6 +19,7 @@
 use super::store::{Change, Store};
 use crate::clock;
 use crate::ids;
+use crate::table::Delivery;
 use crate::timeline::Event;
 
 /// Bounds of relative latencies; one beyond them means a server in trouble, not a slow one.
@@ -108,13 +109,34 @@
                 .is_some_and(|n| n.incarnation == *incarnation)
         };
         let ranges = self.free_ranges(leading_since, service, awaited);
-        if ranges.is_empty() {
+        let is_joinable = || {
+            let ranges = |s: &Store| {
+                s.ranges(service)
+                    .is_some_and(|r| r.is_joinable(incarnation))
+            };
+            self.has_excess_ranges(service, incarnation, 0) && self.with_fleet(ranges)
+        };
+        if ranges.is_empty() && !is_joinable() {
             return Ok(());
         }
         self.assign(leading_since, service, incarnation, &ranges)
             .await
     }
 
+    /// Whether the ranges of an incarnation, with `added` new ones, are to be joined: a response to a
+    /// heartbeat names all of them.
+    pub(super) fn has_excess_ranges(
+        &self,
+        service: &str,
+        incarnation: &Incarnation,
+        added: usize,
+    ) -> bool {
+        let owned = |s: &Store| s.ranges(service).map_or(0, |r| r.owned_count(incarnation));
+        // Grants by calls name the fence of each range, so theirs stay apart.
+        self.delivery(service) == Delivery::Heartbeat
+            && self.with_fleet(owned) + added > plan::JOINED_RANGES
+    }
+
     /// Waits until `deadline` for ranges whose next owner is `incarnation` to become free, and
     /// assigns them.
     ///
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -92,6 +92,9 @@
         /// Key ranges with the tokens of their last owners.
         #[serde(rename = "spans")]
         ranges: Vec<AssignedRange>,
+        /// Whether neighbouring ranges of the new owner are joined.
+        #[serde(default)]
+        join: bool,
     },
     /// Evacuates a zone: its backend servers get no requests and no keys.
     Evacuate {
@@ -237,9 +240,13 @@
                 service,
                 incarnation,
                 ranges,
+                join,
             } => {
                 let map = self.ranges.entry(service).or_default();
                 map.assign(index, &incarnation, &ranges);
+                if join {
+                    map.join(index, &incarnation);
+                }
             }
             Change::Evacuate { zone, sent_after } => {
                 return self.set_evacuated(index, zone, true, sent_after);
--- a/src/fleet/tests/calls.rs
+++ b/src/fleet/tests/calls.rs
@@ -223,6 +223,7 @@
                 service: SERVICE.into(),
                 incarnation: next,
                 ranges,
+                join: false,
             });
         }
     }
--- a/src/fleet/tests/evacuation.rs
+++ b/src/fleet/tests/evacuation.rs
@@ -51,6 +51,7 @@
             service: "s".into(),
             incarnation: incarnation(name, 1),
             ranges: vec![assigned],
+            join: false,
         },
     );
 }
--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -30,6 +30,7 @@
             service: "s".into(),
             incarnation: incarnation("a", 1),
             ranges: vec![assigned],
+            join: false,
         },
     );
     let ranges = vec![(incarnation("b", 1), vec![(0, 9)])];
--- a/src/fleet/tests/plan.rs
+++ b/src/fleet/tests/plan.rs
@@ -1,9 +1,9 @@
 use super::incarnation;
-use crate::fleet::Key;
 use crate::fleet::load::LoadCounts;
 use crate::fleet::messages::ServiceLoad;
 use crate::fleet::plan::{self, Candidate};
 use crate::fleet::ranges::{AssignedRange, Move, RangeMap};
+use crate::fleet::{Key, KeyRange};
 
 fn candidates(names: &[&str]) -> Vec<Candidate> {
     let candidate = |name: &&str| Candidate {
@@ -57,6 +57,57 @@
     );
 }
 
+/// Carries out a plan like the coordinator: each next owner gets its ranges at once, with a token for
+/// each range of their last owners.
+fn carry_out(ranges: &mut RangeMap, moves: &[Move], candidates: &[Candidate], index: u64) {
+    ranges.reassign(index, moves);
+    for (candidate, index) in candidates.iter().zip(index + 1..) {
+        let next = &candidate.incarnation;
+        let is_next = |r: &&KeyRange| r.next.as_ref().is_some_and(|n| n.incarnation == *next);
+        let assigned = ranges.iter().filter(is_next).map(|r| AssignedRange {
+            from: r.from,
+            to: r.to,
+            token: Some(format!("{index}-{}", r.from).into()),
+        });
+        let assigned: Vec<_> = assigned.collect();
+        let join = ranges.owned_count(next) + assigned.len() > plan::JOINED_RANGES;
+        ranges.assign(index, next, &assigned);
+        if join {
+            ranges.join(index, next);
+        }
+    }
+}
+
+/// Guards against a service that shrinks until the responses to heartbeats, which name all ranges of a
+/// server, are longer than a server takes.
+#[test]
+fn the_ranges_of_a_server_stay_few_while_others_leave() {
+    let shares = LoadCounts::default().shares("s");
+    let names: Vec<_> = (0..64).map(|i| format!("s{i}")).collect();
+    for (leaving, remaining) in [(1, 63), (7, 8), (1, 2), (1, 10)] {
+        let mut names: Vec<_> = names.iter().map(String::as_str).collect();
+        let mut ranges = RangeMap::default();
+        let mut index = 1;
+        while !names.is_empty() {
+            let present = candidates(&names);
+            for _ in 0..2 {
+                let moves = plan::plan(&ranges, &present, &shares, true);
+                carry_out(&mut ranges, &moves, &present, index);
+                index += 100;
+            }
+            for candidate in &present {
+                let count = ranges.owned_count(&candidate.incarnation);
+                let share = key_share(&ranges, &candidate.incarnation.server);
+                let ratio = share * plan::to_f64(present.len());
+                let state = format!("{count} ranges, {ratio} times the mean: {candidate:?}");
+                assert!(count <= plan::MAX_RANGES_PER_SERVER, "{state}");
+                assert!(ratio < 2.0, "{state}");
+            }
+            names.truncate(names.len() * remaining / (leaving + remaining));
+        }
+    }
+}
+
 #[test]
 fn the_end_of_a_server_moves_only_its_keys() {
     let mut ranges = RangeMap::default();
--- a/src/fleet/tests/ranges.rs
+++ b/src/fleet/tests/ranges.rs
@@ -2,9 +2,9 @@
 use arbtest::arbtest;
 
 use super::incarnation;
-use crate::fleet::Key;
 use crate::fleet::model::Incarnation;
 use crate::fleet::ranges::{AssignedRange, Move, RangeMap};
+use crate::fleet::{Key, KeyRange};
 
 /// Cases per property, each with its own seed.
 const CASE_COUNT: u64 = 200;
@@ -29,7 +29,17 @@
                 let (from, to) = bounds(u)?;
                 let name = ["a", "b", "c"][usize::from(u.arbitrary::<u8>()? % 3)];
                 let incarnation = incarnation(name, 1);
-                match u.arbitrary::<u8>()? % 3 {
+                match u.arbitrary::<u8>()? % 4 {
+                    3 => {
+                        let owners = |r: &RangeMap| -> Vec<_> {
+                            let keys = (0..=Key::MAX).step_by(64);
+                            keys.map(|k| r.overlapping(k, k).next().unwrap().owner.clone())
+                                .collect()
+                        };
+                        let before = owners(&ranges);
+                        ranges.join(index, &incarnation);
+                        assert_eq!(owners(&ranges), before);
+                    }
                     0 => ranges.reassign(index, &[to_move(from, to, &incarnation)]),
                     1 => ranges.release(index, &incarnation, &[(from, to)]),
                     _ => {
@@ -55,6 +65,41 @@
     }
 }
 
+/// Guards against keys that arrive with the token of other keys, and against moves that are forgotten.
+#[test]
+fn only_ranges_that_an_owner_keeps_are_joined() {
+    let a = incarnation("a", 1);
+    let mut ranges = RangeMap::default();
+    let assign = |ranges: &mut RangeMap, index, (from, to), token: &str| {
+        ranges.reassign(index, &[to_move(from, to, &a)]);
+        let token = Some(token.into());
+        ranges.assign(index, &a, &[AssignedRange { from, to, token }]);
+    };
+    assign(&mut ranges, 1, (0, 9), "t");
+    assign(&mut ranges, 2, (10, 19), "u");
+    ranges.reassign(3, &[to_move(20, 39, &a)]);
+    let arriving = [(20, 29, "v"), (30, 39, "w")].map(|(from, to, token)| AssignedRange {
+        from,
+        to,
+        token: Some(token.into()),
+    });
+    ranges.assign(3, &a, &arriving);
+    let rows = |ranges: &RangeMap| -> Vec<_> {
+        let owned = ranges.iter().filter(|r| r.owner.is_some());
+        let row = |r: &KeyRange| (r.from, r.to, r.fence, r.token.clone().unwrap().to_string());
+        owned.map(row).collect()
+    };
+    let row = |from, to, fence, token: &str| (from, to, fence, token.to_owned());
+    ranges.join(3, &a);
+    let arrived = [row(0, 29, 3, "v"), row(30, 39, 3, "w")];
+    assert_eq!(rows(&ranges), arrived, "both tokens are needed");
+    assign(&mut ranges, 4, (40, 49), "x");
+    ranges.reassign(5, &[to_move(40, 49, &incarnation("b", 1))]);
+    ranges.join(6, &a);
+    let kept = [row(0, 39, 3, "v"), row(40, 49, 4, "x")];
+    assert_eq!(rows(&ranges), kept, "the others move away");
+}
+
 #[test]
 fn keys_are_assigned_to_their_next_owner_only() {
     let mut ranges = RangeMap::default();
--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -333,6 +333,7 @@
                 service: "s".into(),
                 incarnation: sender.clone(),
                 ranges: assigned.collect(),
+                join: self.index.is_multiple_of(2),
             });
         }
         self.leases.record_grant(&sender, LEASE, self.now);
@@ -483,6 +484,7 @@
         service: "s".into(),
         incarnation: incarnation("a", 1),
         ranges: vec![all],
+        join: false,
     };
     store.apply(3, assign);
     store
