Evacuation: an order that asks for what is in force counts as the last one

Callers saw: nothing; found while reading the diff. An order on a connection that had been idle since before the last change was acknowledged if it found the zone as it asked for, but left no index in the log. An opposite one, sent before it and held up until after it, would then have undone what had been acknowledged. Change: each acknowledged order is the last one of its zone from then on. Evidence: `an_order_that_changes_nothing_outdates_earlier_ones` with `sent_after` 0 fails on the code before. The test of copies no longer says that a copy outdates nothing: an opposite order that was sent before the copy was applied gets 503 once and is accepted when it is sent again; it now holds that both copies and both directions are accepted.

--- a/src/fleet/evacuation.rs
+++ b/src/fleet/evacuation.rs
@@ -87,10 +87,9 @@
 }
 
 impl Store {
-    /// Starts or ends the evacuation of a zone, unless the order may have been sent before the last one
-    /// that the log has for the zone.
+    /// Starts or ends the evacuation of a zone, unless that would undo an order which may be newer.
     ///
-    /// An order that changes nothing counts as well: one that is older must not undo it.
+    /// An order that changes nothing counts as well, whenever it was sent, since it is acknowledged.
     pub(super) fn set_evacuated(
         &mut self,
         index: ids::LogIndex,
@@ -99,10 +98,8 @@
         sent_after: ids::LogIndex,
     ) -> Effect {
         let is_changed = self.is_evacuated(&zone) != active;
-        match self.last_order(&zone) {
-            last if last > sent_after && is_changed => return Effect::Outdated,
-            last if last > sent_after => return Effect::Applied,
-            _ => {}
+        if is_changed && self.last_order(&zone) > sent_after {
+            return Effect::Outdated;
         }
         self.evacuation_orders.insert(Arc::clone(&zone), index);
         if is_changed {
@@ -238,27 +235,30 @@
             return Ok(Outcome::UnknownZone(known));
         }
         let changes = self.with_fleet(|store| store.is_evacuated(&zone) != active);
-        let (kind, change) = {
+        let (kind, change) = if active {
             let zone = Arc::clone(&zone);
-            if active {
-                ("fleet.evacuate", Change::Evacuate { zone, sent_after })
-            } else {
-                let change = Change::EndEvacuation { zone, sent_after };
-                ("fleet.evacuate_end", change)
-            }
+            ("fleet.evacuate", Change::Evacuate { zone, sent_after })
+        } else {
+            let zone = Arc::clone(&zone);
+            let change = Change::EndEvacuation { zone, sent_after };
+            ("fleet.evacuate_end", change)
         };
         // A call that is sent again is proposed as well: its acknowledgement says that the log has it.
-        if self.propose_ordered(change).await? == Effect::Outdated {
-            let event = Event::new("fleet.evacuate_outdated").zone(&zone);
-            let detail = format!("active={active} sent_after={sent_after}");
-            self.journal.record(event.detail(&detail));
-            return Ok(Outcome::Outdated);
-        }
-        if changes {
-            self.journal.record(Event::new(kind).zone(&zone));
-            self.request_pass();
+        match self.propose_ordered(change).await? {
+            Effect::Applied => {
+                if changes {
+                    self.journal.record(Event::new(kind).zone(&zone));
+                    self.request_pass();
+                }
+                Ok(Outcome::Accepted)
+            }
+            Effect::Outdated => {
+                let event = Event::new("fleet.evacuate_outdated").zone(&zone);
+                let detail = format!("active={active} sent_after={sent_after}");
+                self.journal.record(event.detail(&detail));
+                Ok(Outcome::Outdated)
+            }
         }
-        Ok(Outcome::Accepted)
     }
 }
 
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -11,8 +11,8 @@
 /// heartbeats stay small.
 pub const MAX_RANGES_PER_SERVER: usize = 64;
 
-/// Number of ranges per backend server above which it gets keys next to its own, and neighbouring ranges
-/// are joined, so that responses to its heartbeats stay small also if many servers leave.
+/// Ranges per backend server from which on keys without an owner go to the owner of the keys next to
+/// them, and neighbouring ranges of an owner are joined; many ranges are left when servers leave.
 pub const JOINED_RANGES: usize = 48;
 
 /// Least ratio of a load to the mean from which on a backend server gives away keys.
