--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -18,7 +18,7 @@
 use super::plan;
 use super::reassign;
 use super::registration::{self, Registration};
-use super::store::{Announcement, Change, Effect, Store};
+use super::store::{Change, Effect, Ordered, Store};
 use crate::clock;
 use crate::control::command::{Applied, Command};
 use crate::control::propose;
@@ -210,7 +210,7 @@
     /// # Errors
     ///
     /// [`RequestError`] if the change was not or may not have been committed.
-    pub async fn register_vm(&self, vm: Announcement<Vm>) -> Result<(), RequestError> {
+    pub async fn register_vm(&self, vm: Ordered<Vm>) -> Result<(), RequestError> {
         self.propose_fleet(Change::Vm(vm)).await
     }
 
--- a/src/fleet/frontend.rs
+++ b/src/fleet/frontend.rs
@@ -21,7 +21,7 @@
 use super::load::LoadCounts;
 use super::messages::{self, Heartbeat, Leave, Observations, RelativeLatency, Renewal};
 use super::model::{Incarnation, ServerState, Vm, VmRole};
-use super::store::Announcement;
+use super::store::Ordered;
 use super::updates::{self, Poll, Updates};
 use crate::clock;
 use crate::ids;
@@ -226,7 +226,7 @@
     /// # Errors
     ///
     /// [`RequestError`] if the change was not or may not have been committed.
-    pub async fn register_vm(&self, vm: Announcement<Vm>) -> Result<(), RequestError> {
+    pub async fn register_vm(&self, vm: Ordered<Vm>) -> Result<(), RequestError> {
         if self.is_leader() {
             return self.coordinator.register_vm(vm).await;
         }
@@ -370,21 +370,21 @@
         let name = &poll.vm.name;
         if !known && self.registering.borrow_mut().insert(Arc::clone(name)) {
             let frontend = Rc::clone(self);
-            let announcement = Announcement {
-                subject: poll.vm.clone(),
+            let vm = Ordered {
+                value: poll.vm.clone(),
                 sent_after: poll.base,
             };
             monoio::spawn(async move {
-                let name = Arc::clone(&announcement.subject.name);
-                frontend.register(announcement).await;
+                let name = Arc::clone(&vm.value.name);
+                frontend.register(vm).await;
                 frontend.registering.borrow_mut().remove(&name);
             });
         }
     }
 
     /// Tries to register a VM; after a failure the caller retries later.
-    async fn register(&self, vm: Announcement<Vm>) {
-        let name = Arc::clone(&vm.subject.name);
+    async fn register(&self, vm: Ordered<Vm>) {
+        let name = Arc::clone(&vm.value.name);
         if let Err(error) = self.register_vm(vm).await {
             log::info!("event=fleet.vm_unknown vm={name:?} refused={error:?}");
             monoio::time::sleep(REGISTER_PAUSE).await;
@@ -400,11 +400,11 @@
                 store.vms().any(|v| *v == own)
             };
             if !known {
-                let announcement = Announcement {
-                    subject: own.clone(),
+                let vm = Ordered {
+                    value: own.clone(),
                     sent_after: self.applied_index(),
                 };
-                self.register(announcement).await;
+                self.register(vm).await;
             }
             let observations = Observations {
                 loads: self.loads.borrow_mut().drain(),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -41,4 +41,4 @@
 pub mod updates;
 
 pub use model::{Incarnation, Key, KeyRange, Server, ServerState, Vm, VmRole};
-pub use store::{Announcement, Change, Effect, Store};
+pub use store::{Change, Effect, Ordered, Store};
--- a/src/fleet/registration.rs
+++ b/src/fleet/registration.rs
@@ -14,7 +14,7 @@
 use super::messages::Heartbeat;
 use super::model::{Incarnation, Server, ServerState};
 use super::ranges::RangeMap;
-use super::store::{Announcement, Change, Effect, Store};
+use super::store::{Change, Effect, Ordered, Store};
 use crate::ids;
 
 /// What a heartbeat means for the registration of its sender.
@@ -73,14 +73,14 @@
             None => Registration::Blocked(stays),
         };
     }
-    let announcement = Announcement {
-        subject: sender.clone(),
+    let server = Ordered {
+        value: sender.clone(),
         sent_after,
     };
     let change = if is_later {
-        Change::Announce(announcement)
+        Change::Announce(server)
     } else {
-        Change::Readmit(announcement)
+        Change::Readmit(server)
     };
     Registration::New {
         displaced: displaced.iter().map(|s| s.incarnation.clone()).collect(),
@@ -137,15 +137,11 @@
 
     /// Registers a backend server whatever the start times say, unless its heartbeat may be a delayed
     /// one; others at its address are gone.
-    pub(super) fn readmit(
-        &mut self,
-        index: ids::LogIndex,
-        announcement: Announcement<Server>,
-    ) -> Effect {
-        let Announcement {
-            subject: server,
+    pub(super) fn readmit(&mut self, index: ids::LogIndex, server: Ordered<Server>) -> Effect {
+        let Ordered {
+            value: server,
             sent_after,
-        } = announcement;
+        } = server;
         if !self.is_newest(&server, sent_after) || self.has_left(&server, sent_after) {
             return Effect::Outdated;
         }
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -24,12 +24,12 @@
 #[serde(rename_all = "snake_case")]
 pub enum Change {
     /// Registers a VM, or changes its address.
-    Vm(Announcement<Vm>),
+    Vm(Ordered<Vm>),
     /// Registers a backend server, or changes its description.
-    Announce(Announcement<Server>),
+    Announce(Ordered<Server>),
     /// Registers a backend server although a later incarnation of its name or a later server at its
     /// address was registered, or it counted as gone itself.
-    Readmit(Announcement<Server>),
+    Readmit(Ordered<Server>),
     /// Sets the state of a backend server.
     #[serde(rename = "stand")]
     SetState {
@@ -114,13 +114,13 @@
     },
 }
 
-/// What a backend server or a VM says of itself.
+/// What a backend server or a VM says of itself, in the order of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement<T> {
-    /// Its description.
+pub struct Ordered<T> {
+    /// Description of the sender.
     #[serde(flatten)]
-    pub subject: T,
-    /// Log index that was applied before it said so.
+    pub value: T,
+    /// Log index that was applied before the message was sent.
     #[serde(default = "unordered")]
     pub sent_after: ids::LogIndex,
 }
@@ -200,9 +200,9 @@
     /// Applies a change; one that conflicts with the state has no effect.
     pub fn apply(&mut self, index: ids::LogIndex, change: Change) -> Effect {
         match change {
-            Change::Vm(announcement) => return self.register_vm(index, announcement),
-            Change::Announce(announcement) => return self.announce(index, announcement),
-            Change::Readmit(announcement) => return self.readmit(index, announcement),
+            Change::Vm(vm) => return self.register_vm(index, vm),
+            Change::Announce(server) => return self.announce(index, server),
+            Change::Readmit(server) => return self.readmit(index, server),
             Change::Leave(leave) => return self.leave(index, &leave),
             Change::SetState { incarnation, state } => self.set_state(index, &incarnation, state),
             Change::Warmup {
@@ -259,12 +259,15 @@
     }
 
     /// Registers a VM; another one at its address is gone.
-    fn register_vm(&mut self, index: ids::LogIndex, announcement: Announcement<Vm>) -> Effect {
-        let vm = announcement.subject;
+    fn register_vm(&mut self, index: ids::LogIndex, vm: Ordered<Vm>) -> Effect {
+        let Ordered {
+            value: vm,
+            sent_after,
+        } = vm;
         let is_replaced =
             |v: &Versioned<Vm>| v.value.name == vm.name || v.value.address == vm.address;
         let mut replaced = self.vms.values().filter(|v| is_replaced(v));
-        if replaced.any(|v| v.changed > announcement.sent_after) {
+        if replaced.any(|v| v.changed > sent_after) {
             return Effect::Outdated;
         }
         self.vms.retain(|_, v| !is_replaced(v));
@@ -278,11 +281,11 @@
     }
 
     /// Registers a backend server; an older one at the same address is gone.
-    fn announce(&mut self, index: ids::LogIndex, announcement: Announcement<Server>) -> Effect {
-        let Announcement {
-            subject: server,
+    fn announce(&mut self, index: ids::LogIndex, server: Ordered<Server>) -> Effect {
+        let Ordered {
+            value: server,
             sent_after,
-        } = announcement;
+        } = server;
         if self.has_left(&server, sent_after) {
             return Effect::Outdated;
         }
--- a/src/fleet/tests/leaving.rs
+++ b/src/fleet/tests/leaving.rs
@@ -4,7 +4,7 @@
 use crate::fleet::leases::Leases;
 use crate::fleet::messages::Leave;
 use crate::fleet::registration::{self, Registration};
-use crate::fleet::{Announcement, Change, Effect, Server, ServerState, Store};
+use crate::fleet::{Change, Effect, Ordered, Server, ServerState, Store};
 
 /// A call of server `a` that names the start of its process, or none.
 fn leave(start_ms: Option<u64>, sent_after: u64) -> Change {
@@ -17,8 +17,8 @@
 }
 
 fn announcement(server: Server, sent_after: u64) -> Change {
-    Change::Announce(Announcement {
-        subject: server,
+    Change::Announce(Ordered {
+        value: server,
         sent_after,
     })
 }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -14,7 +14,7 @@
 
 use super::messages::{Heartbeat, HeldRange};
 use super::model::{Incarnation, Server, ServerState, Vm};
-use super::store::{Announcement, Change};
+use super::store::{Change, Ordered};
 use crate::ids;
 
 fn incarnation(name: &str, start_ms: u64) -> Incarnation {
@@ -39,16 +39,16 @@
 
 /// The registration of a server whose heartbeat was sent a moment ago.
 fn announce(server: Server) -> Change {
-    Change::Announce(Announcement {
-        subject: server,
+    Change::Announce(Ordered {
+        value: server,
         sent_after: ids::LogIndex::MAX,
     })
 }
 
 /// The registration of a VM that is up to date.
 fn register_vm(vm: Vm) -> Change {
-    Change::Vm(Announcement {
-        subject: vm,
+    Change::Vm(Ordered {
+        value: vm,
         sent_after: ids::LogIndex::MAX,
     })
 }
--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -13,7 +13,7 @@
 use crate::fleet::ranges::{AssignedRange, RangeMap};
 use crate::fleet::registration::{self, Registration};
 use crate::fleet::{
-    Announcement, Change, Effect, Incarnation, Key, KeyRange, Server, ServerState, Store,
+    Change, Effect, Incarnation, Key, KeyRange, Ordered, Server, ServerState, Store,
 };
 use crate::fleet::{plan, reassign};
 use crate::ids;
@@ -515,8 +515,8 @@
 
 fn readmission(server: &Server, sent_after: ids::LogIndex) -> Change {
     let server = server.clone();
-    Change::Readmit(Announcement {
-        subject: server,
+    Change::Readmit(Ordered {
+        value: server,
         sent_after,
     })
 }
--- a/src/fleet/tests/store.rs
+++ b/src/fleet/tests/store.rs
@@ -1,5 +1,5 @@
 use super::{announce, incarnation, register_vm, server};
-use crate::fleet::{Announcement, Change, Effect, ServerState, Store, Vm, VmRole};
+use crate::fleet::{Change, Effect, Ordered, ServerState, Store, Vm, VmRole};
 
 fn register(store: &mut Store, index: u64, name: &str, start_ms: u64, port: u16) {
     store.apply(index, announce(server(name, start_ms, port)));
@@ -73,12 +73,9 @@
     store.apply(10, register_vm(vm("a", 1)));
     store.apply(20, register_vm(vm("a", 2)));
     store.apply(30, register_vm(vm("b", 1)));
-    let mut register = |subject, sent_after| {
-        let announcement = Announcement {
-            subject,
-            sent_after,
-        };
-        store.apply(40, Change::Vm(announcement))
+    let mut register = |value, sent_after| {
+        let vm = Ordered { value, sent_after };
+        store.apply(40, Change::Vm(vm))
     };
     assert_eq!(register(vm("a", 1), 15), Effect::Outdated);
     assert_eq!(
