--- a/src/fleet/leaving.rs
+++ b/src/fleet/leaving.rs
@@ -85,20 +85,20 @@
     /// older than the registration of the server.
     pub async fn leave(&self, leave: Leave) -> Result<(), RequestError> {
         self.log.leading_since().ok_or(RequestError::NotLeader)?;
-        let event = Event::new("fleet.stand").server(&leave.server);
-        let Leave {
-            start_ms,
-            sent_after,
-            ..
-        } = &leave;
-        let detail = format!("Left born={start_ms:?} sent_after={sent_after}");
-        self.journal.record(event.detail(&detail));
+        let server = Arc::clone(&leave.server);
+        let detail = format!("born={:?} sent_after={}", leave.start_ms, leave.sent_after);
+        let record = |kind, detail: &str| {
+            let event = Event::new(kind).server(&server);
+            self.journal.record(event.detail(detail));
+        };
         match self.propose_ordered(Change::Leave(leave)).await? {
             Effect::Applied => {
+                record("fleet.stand", &format!("Left {detail}"));
                 self.request_pass();
                 Ok(())
             }
             Effect::Outdated => {
+                record("fleet.leave_outdated", &detail);
                 let reason = "the server may have been registered since the call was sent";
                 Err(RequestError::Unavailable(reason.into()))
             }
