--- a/src/fleet/registration.rs
+++ b/src/fleet/registration.rs
@@ -4,7 +4,7 @@
 //! runs. It must neither take keys from their owner nor shut out a server for good, so a registered
 //! server gives way only if it owns no keys, or is silent and has no lease. A heartbeat may also be a
 //! delayed one of a process that has ended: a later incarnation, or a later server at its address,
-//! gives way only to one that was sent after that was registered.
+//! gives way only to a heartbeat that was sent after its own registration.
 
 use std::sync::Arc;
 use std::time::Instant;
