--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -118,6 +118,8 @@
         self.processes = {}
         self.settings = {}
         self.instances = []
+        self.broken = []        # (time, key, taker, other) against OWNER
+        self.overlaps = []      # (time, taker, other, first key, last key) that both hold
         self.closing = False
         self.zones = zones
         base = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
@@ -207,6 +209,30 @@
                         newest = max(newest or (0, ""), (term, name))
         return newest and newest[1]
 
+    def taken(self, taker, rows, had, now):
+        """Judges OWNER where an instance takes key ranges: no other instance may be at work on
+        one of the keys, before its hold would have run out, or hold it for over half a second."""
+        for other in self.instances:
+            if other is taker or other.service != taker.service or other.ended.is_set():
+                continue
+            with other.lock:
+                at_work = {k: other.work_end[k] for k in other.working}
+                other_rows, other_end = list(other.rows), other.hold_until
+            for key, end in at_work.items():
+                if end > now and not had(key) and any(a <= key <= b for a, b, _ in rows):
+                    self.broken.append((now, key, taker.name, other.name))
+                    self.record.line(f"BROKEN: {taker.name} takes key {key} while {other.name} is "
+                                     f"at work on it, whose hold would end {end - now:.3f} s later")
+            if other_end <= now:
+                continue
+            for a, b, fence in rows:
+                for c, d, other_fence in other_rows:
+                    if a <= d and c <= b:
+                        self.overlaps.append((now, taker, other, max(a, c), min(b, d)))
+                        self.record.line(f"{taker.name} takes {max(a, c)} to {min(b, d)} (fence "
+                                         f"{fence}) that {other.name} holds (fence {other_fence}) "
+                                         f"for {other_end - now:.3f} s more")
+
     def order(self, call, base, body, timeout=20.0, patience=1.0):
         """Sends an operator's order until it has a clear answer; returns the status."""
         data = json.dumps(body, separators=(",", ":")).encode()
@@ -269,7 +295,9 @@
         self.drain_acked = None
         self.ended = threading.Event()
         self.beat_now = threading.Event()
-        self.holds = {}         # (from, to) -> fence
+        self.rows = []          # [from, to, fence] that are held until hold_until
+        self.lingering = []     # rows that are left out, but still worked on
+        self.work_end = {}      # key -> end of the hold under which work on it began
         self.hold_until = 0.0
         self.freed = []
         self.working = {}       # key -> number of requests at work
@@ -286,12 +314,18 @@
 
     # Heartbeats.
 
-    def _live_holds(self, now):
-        """Ranges that are held or still worked on."""
-        rows = []
-        for (first, last), fence in self.holds.items():
-            if now < self.hold_until or any(first <= k <= last for k in self.working):
-                rows.append([first, last, fence])
+    def _report(self, now):
+        """Ranges that are held or still worked on; ranges whose work has ended are freed."""
+        for row in list(self.lingering):
+            if not any(row[0] <= k <= row[1] for k in self.working):
+                self.lingering.remove(row)
+                self.freed.append([row[0], row[1], uuid.uuid4().hex[:16]])
+        rows = list(self.lingering)
+        if now < self.hold_until:
+            rows += self.rows
+        else:
+            # An expired range is not reported as freed, but while it is worked on as held.
+            rows += [r for r in self.rows if any(r[0] <= k <= r[1] for k in self.working)]
         return sorted(rows)
 
     def _body(self):
@@ -303,7 +337,7 @@
                 "warmupRemaining": "0ms", "sequence": self.sequence, "born": self.born,
             }
             if self.sharded:
-                body["holds"] = self._live_holds(time.monotonic())
+                body["holds"] = self._report(time.monotonic())
                 body["freed"] = list(self.freed)
             return json.dumps(body).encode()
 
@@ -312,6 +346,8 @@
         targets = [self.lab.address(c, "control") for c in self.lab.controls]
         random.shuffle(targets)
         preferred = None
+        # Instances start at different moments, and their intervals are approximate.
+        self.ended.wait(random.uniform(0, BEAT))
         while not self.ended.is_set():
             started = time.monotonic()
             acked, again = False, False
@@ -340,33 +376,48 @@
                     preferred = None
                 if not acked:
                     targets.append(targets.pop(0))
-            pause = 0.1 if again else BEAT - (time.monotonic() - started)
+            pause = 0.1 if again else BEAT * random.uniform(0.95, 1.05) - (time.monotonic() - started)
             self.beat_now.wait(max(pause, 0.05))
             self.beat_now.clear()
 
     def _take(self, body, sent):
-        """Takes the key ranges of an answer; true if some are left out and still worked on."""
+        """Takes the key ranges of an answer; true if some are left out."""
         answer = json.loads(body or b"{}")
         if not self.sharded or "holds" not in answer:
             return False
+        now = time.monotonic()
         with self.lock:
             self.freed = []
             hold = float(answer["hold_time"].removesuffix("ms")) / 1000
-            new = {(r[0], r[1]): r[2] for r in answer["holds"]}
-            covered = lambda k: any(a <= k <= b for a, b in new)
-            left = [(a, b) for (a, b) in self.holds if not any(c <= a and b <= d for c, d in new)]
-            # A range that is left out is held no longer; its work is reported until it ends.
-            self.leaving_rows = left
+            new = sorted([r[0], r[1], r[2]] for r in answer["holds"])
+            old = self.rows if now < self.hold_until else []
+            left = []
+            for first, last, fence in old:
+                at = first
+                for c, d, _ in new:
+                    if d < at or c > last:
+                        continue
+                    if c > at:
+                        left.append([at, c - 1, fence])
+                    at = d + 1
+                if at <= last:
+                    left.append([at, last, fence])
             for row in left:
-                self.freed.append([row[0], row[1], uuid.uuid4().hex[:16]])
-            self.holds = new
-            self.hold_until = sent + hold
-            return bool(left)
+                if any(row[0] <= k <= row[1] for k in self.working):
+                    self.lingering.append(row)
+                else:
+                    self.freed.append([row[0], row[1], uuid.uuid4().hex[:16]])
+            had = lambda k: any(a <= k <= b for a, b, _ in old)
+            self.rows, self.hold_until = new, sent + hold
+            for key in self.working:
+                if any(a <= key <= b for a, b, _ in new):
+                    self.work_end[key] = self.hold_until
+        self.lab.taken(self, new, had, now)
+        return bool(left)
 
     def holds_key(self, key):
         now = time.monotonic()
-        with self.lock:
-            return now < self.hold_until and any(a <= key <= b for a, b in self.holds)
+        return now < self.hold_until and any(a <= key <= b for a, b, _ in self.rows)
 
     # Requests.
 
@@ -424,12 +475,18 @@
                 self.running += 1
                 self.runs.append((time.monotonic(), request_id, key))
                 self.working[key] = self.working.get(key, 0) + 1
+                if self.sharded:
+                    self.work_end[key] = self.hold_until
         if full:
             self.send(sock, 503, request_id, "Not-Executed: 1\r\n"
                       f"Instance-Load: {self.running},0,{self.slots}\r\n")
             return True
         self.lab.record.line(f"{self.name} runs {request_id} {method} {path}")
-        time.sleep(self.work)
+        done = time.monotonic() + self.work
+        outlasted = False
+        while time.monotonic() < done and not outlasted:
+            time.sleep(max(0.0, min(0.02, done - time.monotonic())))
+            outlasted = self.sharded and time.monotonic() > self.work_end[key]
         with self.lock:
             self.running -= 1
             self.working[key] -= 1
@@ -437,7 +494,8 @@
                 del self.working[key]
         if self.ended.is_set():
             return False
-        self.send(sock, 200, request_id,
+        # Work that outlasts its lease ends with 500.
+        self.send(sock, 500 if outlasted else 200, request_id,
                   f"Server-Signature: {self.name}.{request_id}\r\n"
                   f"Instance-Load: {self.running},0,{self.slots}\r\n", request_id.encode())
         return True
