--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -609,6 +610,11 @@
     """Runs a case: it returns true if the rule held. Exits with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     lab = None
+
+    def stop(_number, _frame):
+        raise CannotRun("the script was stopped")
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         lab = Lab(folder, **case.MACHINES)
         held = case.run(lab, trouble)
@@ -623,4 +629,5 @@
         if lab:
             lab.close()
     print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code])
+    sys.stdout.flush()
     os._exit(code)
