Review: each case names its record and reads TROUBLE itself

Run: review/build-3.sh, review/15/run.sh with TROUBLE=0. Seen: held, and record.txt written beside the script.

--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -32,9 +32,9 @@
 class Record:
     """Writes what was sent, answered and run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
         self.lock = threading.Lock()
 
     def now(self):
@@ -111,10 +111,10 @@
 class Lab:
     """Machines of a small deployment; ends all their processes when closed."""
 
-    def __init__(self, folder, controls=3, entries=2, zones=("za", "zb", "zc")):
+    def __init__(self, record, controls=3, entries=2, zones=("za", "zb", "zc")):
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun(f"{PROGRAM} is missing: build the deploy file first")
-        self.record = Record(folder)
+        self.record = Record(record)
         self.temp = tempfile.mkdtemp(prefix="agateyoke-review-")
         self.processes = {}
         self.settings = {}
@@ -606,9 +606,9 @@
             "limits": LIMITS}
 
 
-def main(case, folder):
-    """Runs a case: it returns true if the rule held. Exits with 0, 1 or 2."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def main(case, record, trouble):
+    """Runs a case, which returns true if the rule held, and writes what was sent, answered and run to
+    the file `record`. Exits with 0, 1 or 2."""
     lab = None
 
     def stop(_number, _frame):
@@ -616,7 +616,7 @@
 
     signal.signal(signal.SIGTERM, stop)
     try:
-        lab = Lab(folder, **case.MACHINES)
+        lab = Lab(record, **case.MACHINES)
         held = case.run(lab, trouble)
         code = 0 if held else 1
     except CannotRun as error:
