Fleet: a new leader waits for leases of services that earlier tables had

Cause: a new leader waits for the longest lease that its predecessor may have granted, and took it from the services of the present table, so from none: 3.5 s instead of 6 s. The delivery was read from there as well, so the last call of a predecessor was not waited for once the delivery had changed.

Ruled out: early reports of released keys (the servers reported them as held) and grants of the new leader (there were none).

Change: InheritedLeases is derived, service by service, from what the log has kept of all tables: the longest latency targets, which were there already, and the services whose keys were delivered by calls, which is new.

--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -11,7 +11,7 @@
 use super::delivery::Clients;
 use super::evacuation;
 use super::grant_client::CallFormat;
-use super::leases::{self, Leases};
+use super::leases::{self, InheritedLeases, Leases};
 use super::load::LoadCounts;
 use super::messages::{Heartbeat, Observations, Renewal};
 use super::model::{Incarnation, Server, ServerState, Vm};
@@ -611,8 +611,10 @@
         RefMut::map(self.leases.borrow_mut(), |leases| {
             let current = leases.take().filter(|l| l.leading_since() == leading_since);
             let new = || {
-                let index = self.log.applied_index();
-                Leases::new(self.longest_lease(), leading_since, index)
+                let inherited =
+                    InheritedLeases::from_tables(&self.state.table.borrow(), self.max_lease);
+                ::log::info!("event=fleet.leases_inherited {inherited:?}");
+                Leases::new(inherited, leading_since, self.log.applied_index())
             };
             leases.insert(current.unwrap_or_else(new))
         })
@@ -624,16 +626,6 @@
         leases::lease_duration(target, self.max_lease)
     }
 
-    /// Longest lease of all services.
-    fn longest_lease(&self) -> Duration {
-        let table = self.state.table.borrow();
-        let services = table.current().into_iter().flat_map(|t| &t.services);
-        let targets = services
-            .filter(|s| s.sharded)
-            .map(|s| table.longest_target(&s.name));
-        leases::lease_duration(targets.max().unwrap_or_default(), self.max_lease)
-    }
-
     /// How grants reach the key owners of a service.
     pub(super) fn delivery(&self, service: &str) -> Delivery {
         let table = self.state.table.borrow();
--- a/src/fleet/delivery.rs
+++ b/src/fleet/delivery.rs
@@ -75,7 +75,7 @@
             let Some(ranges) = store.ranges(service) else {
                 return Vec::new();
             };
-            let is_settled = |r: &KeyRange| leases.is_settled(r, now);
+            let is_settled = |r: &KeyRange| leases.is_settled(service, r, now);
             let calls = due_calls::due(ranges, leases.calls(), is_settled, now);
             let known = calls.into_iter().filter_map(|(incarnation, calls)| {
                 let server = store.incarnation(&incarnation)?;
@@ -200,7 +200,7 @@
         let is_owned = |r: &KeyRange| {
             r.owner.as_ref() == Some(&server.incarnation)
                 && r.fence == run.fence
-                && (r.next.is_none() || !leases.is_settled(r, now))
+                && (r.next.is_none() || !leases.is_settled(&server.service, r, now))
         };
         self.with_fleet(|store| {
             let ranges = store.ranges(&server.service);
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -1,9 +1,10 @@
 //! Leases of backend servers, in the leader's memory only.
 //!
 //! A new leader doesn't know the leases that its predecessor granted, so it assumes that
-//! every incarnation has one of the maximum duration. It also has no sequence number to tell a
-//! delayed heartbeat from a new one, so a heartbeat says what its sender holds only if it was sent
-//! after this leader began.
+//! every incarnation has one of the longest duration that any table allowed for its service: the
+//! present table may lack the service, or give it shorter leases than the one before. It also has no
+//! sequence number to tell a delayed heartbeat from a new one, so a heartbeat says what its sender
+//! holds only if it was sent after this leader began.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -11,11 +12,11 @@
 
 use super::call_leases::{CallLeases, PREDECESSOR_MARGIN};
 use super::messages::{Heartbeat, HeldRange, ReleasedRange};
-use super::model::{HandoverToken, Incarnation, Key, KeyRange};
+use super::model::{HandoverToken, Incarnation, Key, KeyRange, Server};
 use super::ranges::AssignedRange;
 use super::store::Store;
 use crate::ids;
-use crate::table::Delivery;
+use crate::table::{self, Delivery};
 
 /// Lease of a backend server whose requests are short.
 ///
@@ -36,9 +37,11 @@
 /// Longest time between two heartbeats of a running server: the interval and some delay.
 const MAX_HEARTBEAT_GAP: Duration = Duration::from_millis(1200);
 
-/// Time after which heartbeats that have come in order are no delayed copies: the longest lease that
-/// a backend server takes.
-const TRUST_DELAY: Duration = Duration::from_secs(10);
+/// Longest lease that a backend server takes.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
+
+/// Time after which heartbeats that have come in order are no delayed copies.
+const TRUST_DELAY: Duration = LONGEST_LEASE;
 
 /// Released ranges kept per service; older ones have long been assigned again.
 const MAX_RELEASED_RANGES: usize = 512;
@@ -60,11 +63,62 @@
     expires: Option<Instant>,
 }
 
+/// For how long leases of an earlier leader may be in force after the next one has begun.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InheritedLeases {
+    by_service: BTreeMap<ids::ServiceName, Duration>,
+    /// The same for a service that had no route.
+    other: Duration,
+}
+
+impl InheritedLeases {
+    /// Derives the longest leases from all tables so far; `max` limits the leases of this VM.
+    pub fn from_tables(tables: &table::Store, max: Duration) -> Self {
+        // The limit of an earlier leader may have been higher.
+        let max = max.max(LONGEST_LEASE);
+        let Some(targets) = tables.longest_targets() else {
+            return Self::all(max, Delivery::Call);
+        };
+        let remaining = |(service, target): (&ids::ServiceName, &Duration)| {
+            let lease = lease_duration(*target, max);
+            (
+                Arc::clone(service),
+                remaining(lease, tables.any_delivery(service)),
+            )
+        };
+        Self {
+            by_service: targets.iter().map(remaining).collect(),
+            ..Self::all(MIN_LEASE, Delivery::Call)
+        }
+    }
+
+    /// Leases of one duration for all services.
+    pub fn all(lease: Duration, delivery: Delivery) -> Self {
+        Self {
+            by_service: BTreeMap::new(),
+            other: remaining(lease, delivery),
+        }
+    }
+
+    fn remaining(&self, service: &str) -> Duration {
+        self.by_service.get(service).copied().unwrap_or(self.other)
+    }
+}
+
+/// Time after which a lease of an earlier leader has ended for certain.
+fn remaining(lease: Duration, delivery: Delivery) -> Duration {
+    let lease = lease.mul_f64(CLOCK_DRIFT_FACTOR);
+    match delivery {
+        Delivery::Heartbeat => lease,
+        // The last call of the earlier leader may arrive after the next one has begun.
+        Delivery::Call => lease + PREDECESSOR_MARGIN,
+    }
+}
+
 /// Leases of all backend servers, as far as known to this leader.
 #[derive(Debug)]
 pub struct Leases {
-    /// Longest lease that an earlier leader may have granted.
-    predecessor_lease: Duration,
+    inherited: InheritedLeases,
     /// When this VM became the leader.
     leading_since: Instant,
     /// Log index that was applied then; ranges with a higher fence were assigned by this leader.
@@ -78,15 +132,13 @@
 
 impl Leases {
     /// Leases of a VM that became the leader at `leading_since`, when `first_index` was applied.
-    ///
-    /// `predecessor_lease` is the longest lease that an earlier leader may have granted.
     pub fn new(
-        predecessor_lease: Duration,
+        inherited: InheritedLeases,
         leading_since: Instant,
         first_index: ids::LogIndex,
     ) -> Self {
         Self {
-            predecessor_lease,
+            inherited,
             leading_since,
             first_index,
             heartbeats: HashMap::new(),
@@ -230,19 +282,23 @@
 
     /// Whether all leases of an incarnation have expired, or the incarnation has ended.
     pub fn has_expired(&self, incarnation: &Incarnation, store: &Store, now: Instant) -> bool {
-        if store.incarnation(incarnation).is_none() {
+        let Some(server) = store.incarnation(incarnation) else {
             return !self.is_leased(incarnation, now);
-        }
-        let last = self.newest(incarnation);
-        now > last
-            .and_then(|l| l.expires)
-            .unwrap_or(self.predecessor_expiry())
-            && self.calls.have_ended(incarnation, now)
+        };
+        now > self.expiry(server) && self.calls.have_ended(incarnation, now)
+    }
+
+    /// End of the longest lease that an earlier leader may have granted on keys of a service.
+    fn inherited_expiry(&self, service: &str) -> Instant {
+        self.leading_since + self.inherited.remaining(service)
     }
 
-    /// End of the longest lease that an earlier leader may have granted in a heartbeat.
-    fn predecessor_expiry(&self) -> Instant {
-        self.leading_since + self.predecessor_lease.mul_f64(CLOCK_DRIFT_FACTOR)
+    /// End of the longest lease that this leader granted to a server in a heartbeat, or an earlier
+    /// one may have granted: the response with the later lease may not have arrived.
+    fn expiry(&self, server: &Server) -> Instant {
+        let inherited = self.inherited_expiry(&server.service);
+        let granted = self.newest(&server.incarnation).and_then(|l| l.expires);
+        granted.unwrap_or(inherited)
     }
 
     /// Whether this leader granted a lease in a heartbeat that has not expired.
@@ -258,9 +314,9 @@
         last.filter(|l| l.incarnation == *incarnation)
     }
 
-    /// Whether no grant of an earlier leader can be in force or under way for a range.
-    pub fn is_settled(&self, range: &KeyRange, now: Instant) -> bool {
-        range.fence > self.first_index || now > self.predecessor_expiry() + PREDECESSOR_MARGIN
+    /// Whether no grant of an earlier leader can be in force or under way for a range of a service.
+    pub fn is_settled(&self, service: &str, range: &KeyRange, now: Instant) -> bool {
+        range.fence > self.first_index || now > self.inherited_expiry(service)
     }
 
     /// Whether it is proved that the present owner of a range no longer holds it.
@@ -280,14 +336,14 @@
         let Some(next) = &range.next else {
             return false;
         };
-        if store.incarnation(owner).is_none() {
+        let Some(server) = store.incarnation(owner) else {
             return !self.is_leased(owner, now);
-        }
+        };
         let last = self.newest(owner);
-        let no_lease = match last.and_then(|l| l.expires) {
-            Some(expires) => now > expires,
-            None if delivery == Delivery::Call => self.is_settled(range, now),
-            None => now > self.predecessor_expiry(),
+        let has_grants = last.is_some_and(|l| l.expires.is_some());
+        let no_lease = match delivery {
+            Delivery::Call if !has_grants => self.is_settled(&server.service, range, now),
+            Delivery::Call | Delivery::Heartbeat => now > self.expiry(server),
         };
         let holds_none = |held: &Vec<HeldRange>| !held.iter().any(|h| range.overlaps(h.from, h.to));
         let reported = last.is_some_and(|l| {
--- a/src/fleet/tests/calls.rs
+++ b/src/fleet/tests/calls.rs
@@ -9,7 +9,7 @@
 use super::{announce, server};
 use crate::fleet::call_leases::Run;
 use crate::fleet::due_calls;
-use crate::fleet::leases::Leases;
+use crate::fleet::leases::{InheritedLeases, Leases};
 use crate::fleet::messages::{GrantedRange, ReleasedRange};
 use crate::fleet::model::{Incarnation, Key, KeyRange};
 use crate::fleet::{Change, Server, Store};
@@ -111,7 +111,7 @@
             store: Store::default(),
             servers: Vec::new(),
             calls: Vec::new(),
-            leases: Leases::new(LEASE, now, 0),
+            leases: Leases::new(InheritedLeases::all(LEASE, Delivery::Call), now, 0),
             fences: [0; SAMPLES.len()],
             is_calm: false,
             grants_sent: 0,
@@ -166,7 +166,11 @@
     /// The calls of the old leader go on; what became of them is not known to the new one.
     fn change_leader(&mut self) {
         self.term += 1;
-        self.leases = Leases::new(LEASE, self.now, self.index);
+        self.leases = Leases::new(
+            InheritedLeases::all(LEASE, Delivery::Call),
+            self.now,
+            self.index,
+        );
     }
 
     fn restart_server(&mut self) {
@@ -229,7 +233,7 @@
     }
 
     fn send_due(&mut self) {
-        let is_settled = |r: &KeyRange| self.leases.is_settled(r, self.now);
+        let is_settled = |r: &KeyRange| self.leases.is_settled("s", r, self.now);
         let ranges = self.store.ranges(SERVICE).unwrap();
         let due = due_calls::due(ranges, self.leases.calls(), is_settled, self.now);
         for (incarnation, calls) in due {
--- a/src/fleet/tests/evacuation.rs
+++ b/src/fleet/tests/evacuation.rs
@@ -3,7 +3,6 @@
 
 use super::{announce, incarnation, server};
 use crate::fleet::evacuation::{Progress, ZoneEvacuation};
-use crate::fleet::leases::Leases;
 use crate::fleet::load::LoadCounts;
 use crate::fleet::plan;
 use crate::fleet::ranges::RangeMap;
@@ -79,7 +78,7 @@
     first_index: u64,
     now: Instant,
 ) -> Vec<plan::Candidate> {
-    let leases = Leases::new(Duration::from_secs(4), now, first_index);
+    let leases = super::new_leases(Duration::from_secs(4), now, first_index);
     reassign::candidates(store, &leases, &HashMap::new(), progress, "s", now)
 }
 
--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -1,10 +1,12 @@
 use std::time::{Duration, Instant};
 
+use serde_json::{Value, json};
+
 use super::{announce, heartbeat, incarnation, server};
-use crate::fleet::leases::Leases;
+use crate::fleet::leases::{InheritedLeases, Leases};
 use crate::fleet::messages::ReleasedRange;
 use crate::fleet::{Change, KeyRange, ServerState, Store};
-use crate::table::Delivery;
+use crate::table::{self, Delivery};
 
 const MAX_LEASE: Duration = Duration::from_secs(4);
 
@@ -44,7 +46,7 @@
 fn only_a_heartbeat_after_the_next_owner_was_named_proves_that_keys_are_free() {
     let (store, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now, 0);
+    let mut leases = super::new_leases(MAX_LEASE, now, 0);
     assert!(leases.record_heartbeat(&heartbeat("a", 1, &[]), 4, now));
     leases.record_grant(&incarnation("a", 1), MAX_LEASE, now);
     assert!(
@@ -64,7 +66,7 @@
 fn a_delayed_heartbeat_proves_nothing() {
     let (store, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now, 0);
+    let mut leases = super::new_leases(MAX_LEASE, now, 0);
     assert!(leases.record_heartbeat(&heartbeat("a", 7, &[(0, 9)]), 5, now));
     assert!(!leases.record_heartbeat(&heartbeat("a", 6, &[]), 6, now));
     assert!(!leases.record_heartbeat(&heartbeat("a", 7, &[]), 6, now));
@@ -77,7 +79,7 @@
 fn a_heartbeat_from_before_the_leadership_proves_no_release() {
     let (store, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now, 7);
+    let mut leases = super::new_leases(MAX_LEASE, now, 7);
     let mut delayed = heartbeat("a", 1, &[]);
     delayed.sent_after = 6;
     let is_free = |leases: &Leases, at| leases.is_free(&range, &store, Delivery::Heartbeat, at);
@@ -98,7 +100,7 @@
 fn a_silent_owner_keeps_its_keys_until_its_lease_has_expired() {
     let (store, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now, 0);
+    let mut leases = super::new_leases(MAX_LEASE, now, 0);
     leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 5, now);
     leases.record_grant(
         &incarnation("a", 1),
@@ -118,7 +120,7 @@
 fn a_new_leader_waits_out_leases_of_its_predecessor() {
     let (store, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now, 0);
+    let mut leases = super::new_leases(MAX_LEASE, now, 0);
     assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now + MAX_LEASE));
     assert!(leases.is_free(&range, &store, Delivery::Heartbeat, now + ALL_EXPIRED));
     leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 5, now);
@@ -132,7 +134,7 @@
 fn an_owner_that_left_may_still_run_and_one_that_is_gone_does_not() {
     let (mut store, range) = fixture();
     let now = Instant::now();
-    let leases = Leases::new(MAX_LEASE, now, 0);
+    let leases = super::new_leases(MAX_LEASE, now, 0);
     let set_state = |state| Change::SetState {
         incarnation: incarnation("a", 1),
         state,
@@ -147,7 +149,7 @@
 fn handover_tokens_stay_with_their_keys() {
     let (_, range) = fixture();
     let now = Instant::now();
-    let mut leases = Leases::new(MAX_LEASE, now, 0);
+    let mut leases = super::new_leases(MAX_LEASE, now, 0);
     let mut heartbeat = heartbeat("a", 1, &[]);
     let released = |from, to, token: &str| ReleasedRange {
         from,
@@ -174,7 +176,7 @@
     let (store, range) = fixture();
     let now = Instant::now();
     let later = now + Duration::from_secs(1);
-    let mut leases = Leases::new(MAX_LEASE, now, 0);
+    let mut leases = super::new_leases(MAX_LEASE, now, 0);
     leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 5, now);
     leases.record_heartbeat(&heartbeat("a", 2, &[(0, 9)]), 5, later);
     leases.record_grant(&incarnation("a", 1), MAX_LEASE, later);
@@ -182,3 +184,96 @@
     assert!(!leases.is_free(&range, &store, Delivery::Heartbeat, now + ALL_EXPIRED));
     assert!(leases.is_free(&range, &store, Delivery::Heartbeat, later + ALL_EXPIRED));
 }
+
+/// Stores the tables whose only route goes to the service with each latency target; `delivery` is that
+/// of `s`, which is left out of a table whose route goes to another service.
+fn tables(versions: &[(&str, u64, &str)]) -> table::Store {
+    let mut store = table::Store::default();
+    for (version, &(service, target_ms, delivery)) in (1..).zip(versions) {
+        let table = json!({
+            "version": version,
+            "routes": [{
+                "name": "r", "host": "h", "prefix": "/", "repeat": "idempotent", "timeout": 9000,
+                "objective": target_ms, "rank": 1, "attempts": 2, "destination": {"service": service},
+            }],
+            "services": [{
+                "name": service, "connections": 9, "owned": service == "s", "delivery": delivery,
+            }],
+            "limits": table::Limits::default(),
+        });
+        let change = table::Change {
+            base: version - 1,
+            version,
+            digest: version.to_string().into(),
+            body: table::Body::Full(serde_json::from_value(table).unwrap()),
+        };
+        assert_eq!(store.apply(version, change), table::Outcome::Accepted);
+    }
+    store
+}
+
+/// Whether a leader that begins under the newest of some tables takes the keys of `a` for free after
+/// a time; `delivery` is that of the newest table.
+fn is_free_after(tables: &table::Store, ms: u64, delivery: Delivery) -> bool {
+    let (store, range) = fixture();
+    let now = Instant::now();
+    let inherited = InheritedLeases::from_tables(tables, MAX_LEASE);
+    let leases = Leases::new(inherited, now, 9);
+    leases.is_free(&range, &store, delivery, now + Duration::from_millis(ms))
+}
+
+/// Guards against keys of two owners: leases that were granted under an earlier table end later than
+/// those that the present table allows.
+#[test]
+fn a_new_leader_waits_out_leases_of_earlier_tables() {
+    let heartbeat = Delivery::Heartbeat;
+    let left_out = tables(&[("s", 6000, "heartbeat"), ("other", 100, "heartbeat")]);
+    assert!(!is_free_after(&left_out, 6200, heartbeat));
+    assert!(is_free_after(&left_out, 6300, heartbeat));
+    let lowered = tables(&[("s", 6000, "heartbeat"), ("s", 4000, "heartbeat")]);
+    assert!(!is_free_after(&lowered, 6200, heartbeat));
+    assert!(is_free_after(&lowered, 6300, heartbeat));
+    let returned = tables(&[
+        ("s", 6000, "call"),
+        ("other", 100, "heartbeat"),
+        ("s", 6000, "heartbeat"),
+    ]);
+    assert!(
+        !is_free_after(&returned, 6800, heartbeat),
+        "the last call of the predecessor may arrive late"
+    );
+    assert!(is_free_after(&returned, 6900, heartbeat));
+    let called = tables(&[("s", 6000, "heartbeat"), ("s", 6000, "call")]);
+    assert!(!is_free_after(&called, 6800, Delivery::Call));
+    assert!(is_free_after(&called, 6900, Delivery::Call));
+}
+
+/// Guards against keys of two owners after a start from a snapshot, which may lack earlier tables.
+#[test]
+fn a_leader_that_starts_from_a_snapshot_waits_out_leases_of_earlier_tables() {
+    let left_out = tables(&[("s", 6000, "call"), ("other", 100, "heartbeat")]);
+    let mut snapshot = serde_json::to_value(&left_out).unwrap();
+    let restore = |snapshot: &Value| serde_json::from_value(snapshot.clone()).unwrap();
+    assert!(!is_free_after(
+        &restore(&snapshot),
+        6800,
+        Delivery::Heartbeat
+    ));
+    assert!(is_free_after(
+        &restore(&snapshot),
+        6900,
+        Delivery::Heartbeat
+    ));
+    let fields = snapshot.as_object_mut().unwrap();
+    fields.remove("longest_targets");
+    assert!(!is_free_after(
+        &restore(&snapshot),
+        10_900,
+        Delivery::Heartbeat
+    ));
+    assert!(is_free_after(
+        &restore(&snapshot),
+        11_100,
+        Delivery::Heartbeat
+    ));
+}
--- a/src/fleet/tests/leaving.rs
+++ b/src/fleet/tests/leaving.rs
@@ -1,7 +1,6 @@
 use std::time::{Duration, Instant};
 
 use super::{announce, heartbeat, incarnation, server};
-use crate::fleet::leases::Leases;
 use crate::fleet::messages::Leave;
 use crate::fleet::registration::{self, Registration};
 use crate::fleet::{Change, Effect, Ordered, Server, ServerState, Store};
@@ -30,7 +29,7 @@
 /// Whether the first heartbeat of an incarnation of `a` leads to its registration.
 fn is_admitted(store: &Store, start_ms: u64, sent_after: u64) -> bool {
     let now = Instant::now();
-    let leases = Leases::new(Duration::from_secs(4), now, 0);
+    let leases = super::new_leases(Duration::from_secs(4), now, 0);
     let mut heartbeat = heartbeat("a", 1, &[]);
     heartbeat.server = server("a", start_ms, 1);
     heartbeat.sent_after = sent_after;
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -10,12 +10,20 @@
 mod store;
 mod updates;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use super::leases::{InheritedLeases, Leases};
 use super::messages::{Heartbeat, HeldRange};
 use super::model::{Incarnation, Server, ServerState, Vm};
 use super::store::{Change, Ordered};
 use crate::ids;
+use crate::table::Delivery;
+
+/// Leases of a leader whose predecessor granted leases of up to `lease` in heartbeats.
+fn new_leases(lease: Duration, leading_since: Instant, first_index: ids::LogIndex) -> Leases {
+    let inherited = InheritedLeases::all(lease, Delivery::Heartbeat);
+    Leases::new(inherited, leading_since, first_index)
+}
 
 fn incarnation(name: &str, start_ms: u64) -> Incarnation {
     Incarnation {
--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -89,7 +89,7 @@
             now,
             index: 0,
             store: Store::default(),
-            leases: Leases::new(LEASE, now, 0),
+            leases: super::new_leases(LEASE, now, 0),
             processes: [("a", 1), ("b", 2), ("c", 3)].map(process).into(),
             granted: Vec::new(),
             delayed_leaves: Vec::new(),
@@ -150,7 +150,7 @@
         if self.chance(0.003) {
             // The new leader begins with an entry of its own.
             self.index += 1;
-            self.leases = Leases::new(LEASE, self.now, self.index);
+            self.leases = super::new_leases(LEASE, self.now, self.index);
         }
     }
 
@@ -462,7 +462,7 @@
 }
 
 fn leases_of(name: &str, now: Instant) -> Leases {
-    let mut leases = Leases::new(LEASE, now, 0);
+    let mut leases = super::new_leases(LEASE, now, 0);
     assert!(leases.record_heartbeat(&heartbeat(name, 1, &[]), 1, now));
     leases.record_grant(&incarnation(name, 1), LEASE, now);
     leases
@@ -527,7 +527,7 @@
 fn a_delayed_heartbeat_of_an_earlier_process_displaces_no_later_one() {
     let now = Instant::now();
     let is_long_silent = now + Duration::from_secs(30);
-    let leases = Leases::new(LEASE, now, 0);
+    let leases = super::new_leases(LEASE, now, 0);
     for (later, state) in [
         (server("a", 2, 1), ServerState::Ready),
         (server("a", 2, 1), ServerState::Left),
@@ -560,7 +560,7 @@
 #[test]
 fn a_delayed_heartbeat_of_a_server_that_is_gone_is_ignored() {
     let now = Instant::now();
-    let leases = Leases::new(LEASE, now, 0);
+    let leases = super::new_leases(LEASE, now, 0);
     let mut store = Store::default();
     store.apply(10, announce(server("a", 1, 1)));
     let (incarnation, state) = (incarnation("a", 1), ServerState::Gone);
@@ -581,7 +581,7 @@
     store.apply(1, announce(server("a", 1, 1)));
     store.apply(2, announce(server("a", u64::MAX, 9)));
     let own = heartbeat("a", 5, &[]);
-    let mut leases = Leases::new(LEASE, now, 0);
+    let mut leases = super::new_leases(LEASE, now, 0);
     let mut foreign = heartbeat("a", 1, &[]);
     foreign.server = server("a", u64::MAX, 9);
     assert!(leases.record_heartbeat(&foreign, 2, now));
--- a/src/table/store.rs
+++ b/src/table/store.rs
@@ -1,13 +1,13 @@
 //! Replicated state of the routing table.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::change::{Body, Change, Digest, Patch, Update};
-use super::model::{Service, Table};
+use super::model::{Delivery, Service, Table};
 use super::modified::ModifiedIndex;
 use super::validate::{self, ValidationError};
 use crate::ids;
@@ -39,9 +39,12 @@
     routes: ModifiedIndex,
     #[serde(default)]
     services: ModifiedIndex,
-    /// Longest latency target that any table had for a service.
-    #[serde(default)]
-    longest_targets: BTreeMap<ids::ServiceName, Duration>,
+    /// Longest latency target that any table had for a service; `None` after a snapshot without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    longest_targets: Option<BTreeMap<ids::ServiceName, Duration>>,
+    /// Services whose keys any table had delivered by calls.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    called_services: BTreeSet<ids::ServiceName>,
 }
 
 impl Store {
@@ -93,16 +96,47 @@
     ///
     /// It never falls, so that a lease which is derived from it is not longer than a later one.
     pub fn longest_target(&self, service: &str) -> Duration {
-        self.longest_targets
-            .get(service)
-            .copied()
-            .unwrap_or_default()
+        match &self.longest_targets {
+            Some(targets) => targets.get(service).copied().unwrap_or_default(),
+            None => self.current.as_deref().map_or(Duration::ZERO, |table| {
+                let routes = table.routes.iter();
+                let of_service = routes.filter(|r| r.services().any(|s| **s == *service));
+                let targets = of_service.map(|r| r.latency_target);
+                targets.max().unwrap_or_default()
+            }),
+        }
     }
 
-    fn record_targets(&mut self, table: &Table) {
+    /// Longest latency target of each service that any table had a route to; `None` if the tables
+    /// before a snapshot are unknown.
+    pub fn longest_targets(&self) -> Option<&BTreeMap<ids::ServiceName, Duration>> {
+        self.longest_targets.as_ref()
+    }
+
+    /// How the keys of a service were delivered by any table so far: by calls if one said so.
+    pub fn any_delivery(&self, service: &str) -> Delivery {
+        match self.service(service) {
+            _ if self.called_services.contains(service) => Delivery::Call,
+            // A snapshot without the record still has the present table.
+            Some(service) => service.delivery,
+            None => Delivery::Heartbeat,
+        }
+    }
+
+    fn record_history(&mut self, table: &Table) {
+        let called = table.services.iter();
+        let called = called.filter(|s| s.delivery == Delivery::Call);
+        self.called_services
+            .extend(called.map(|s| Arc::clone(&s.name)));
+        if self.current.is_none() {
+            self.longest_targets = Some(BTreeMap::new());
+        }
+        let Some(targets) = &mut self.longest_targets else {
+            return;
+        };
         for route in &table.routes {
             for service in route.services() {
-                let longest = self.longest_targets.entry(Arc::clone(service)).or_default();
+                let longest = targets.entry(Arc::clone(service)).or_default();
                 *longest = route.latency_target.max(*longest);
             }
         }
@@ -130,7 +164,7 @@
         if let Err(error) = validate::validate(&table) {
             return Outcome::Refused(error);
         }
-        self.record_targets(&table);
+        self.record_history(&table);
         let old = self.current.take().unwrap_or_default();
         let table = table.sharing(&old);
         self.routes
