Fleet: a lease of the leader shortens none of its predecessor

What callers could see: two owners of a key, for as long as the leases of two leaders differ.

Cause: once the leader had granted a lease to an owner, that one alone told when the owner's keys become free.

Change: the later end counts, in Leases::expiry.

Result: a_shorter_lease_of_a_new_leader_ends_none_of_its_predecessor failed before (!is_free(now + MAX_LEASE)) and passes.

--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -298,7 +298,7 @@
     fn expiry(&self, server: &Server) -> Instant {
         let inherited = self.inherited_expiry(&server.service);
         let granted = self.newest(&server.incarnation).and_then(|l| l.expires);
-        granted.unwrap_or(inherited)
+        granted.map_or(inherited, |g| g.max(inherited))
     }
 
     /// Whether this leader granted a lease in a heartbeat that has not expired.
--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -130,6 +130,23 @@
     );
 }
 
+/// Guards against keys of two owners: the response with a shorter lease of a new leader may be lost, and
+/// the owner then holds the keys under that of the earlier leader.
+#[test]
+fn a_shorter_lease_of_a_new_leader_ends_none_of_its_predecessor() {
+    let (store, range) = fixture();
+    let now = Instant::now();
+    let mut leases = super::new_leases(MAX_LEASE, now, 9);
+    let owner = incarnation("a", 1);
+    leases.record_heartbeat(&heartbeat("a", 1, &[(0, 9)]), 9, now);
+    leases.record_grant(&owner, Duration::from_secs(1), now);
+    let is_free = |at| leases.is_free(&range, &store, Delivery::Heartbeat, at);
+    assert!(!is_free(now + MAX_LEASE));
+    assert!(!leases.has_expired(&owner, &store, now + MAX_LEASE));
+    assert!(is_free(now + ALL_EXPIRED));
+    assert!(leases.has_expired(&owner, &store, now + ALL_EXPIRED));
+}
+
 #[test]
 fn an_owner_that_left_may_still_run_and_one_that_is_gone_does_not() {
     let (mut store, range) = fixture();
