Fleet: keys that their owner reports are not free for want of a grant

Cause: a heartbeat without keys freed them, but one with keys changed nothing. Where the leader had granted nothing to the owner itself, the time for its predecessor's leases alone decided.

Change: Leases::expiry counts a reported hold without any recorded grant, by heartbeat or by call, as a lease of the longest duration from the heartbeat on. A later heartbeat without the keys still frees them.

Result: keys_that_their_owner_reports_are_not_free_for_want_of_a_grant failed before (!is_free(&leases, reported)) and passes.

--- a/src/fleet/call_leases.rs
+++ b/src/fleet/call_leases.rs
@@ -202,6 +202,11 @@
             > 0
     }
 
+    /// Whether an incarnation was called.
+    pub fn is_known(&self, incarnation: &Incarnation) -> bool {
+        self.servers.contains_key(incarnation)
+    }
+
     /// Whether all grants to an incarnation have ended.
     pub fn have_ended(&self, incarnation: &Incarnation, now: Instant) -> bool {
         let server = self.servers.get(incarnation);
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -38,7 +38,7 @@
 const MAX_HEARTBEAT_GAP: Duration = Duration::from_millis(1200);
 
 /// Longest lease that a backend server takes.
-const LONGEST_LEASE: Duration = Duration::from_secs(10);
+pub(super) const LONGEST_LEASE: Duration = Duration::from_secs(10);
 
 /// Time after which heartbeats that have come in order are no delayed copies.
 const TRUST_DELAY: Duration = LONGEST_LEASE;
@@ -293,12 +293,21 @@
         self.leading_since + self.inherited.remaining(service)
     }
 
-    /// End of the longest lease that this leader granted to a server in a heartbeat, or an earlier
+    /// End of the longest lease in a heartbeat that this leader granted to a server, or an earlier
     /// one may have granted: the response with the later lease may not have arrived.
     fn expiry(&self, server: &Server) -> Instant {
+        let incarnation = &server.incarnation;
+        let last = self.newest(incarnation);
+        let own = last.and_then(|l| match (l.expires, &l.held) {
+            (Some(granted), _) => Some(granted),
+            // The server was granted its keys, though this leader doesn't know by whom.
+            (None, Some(held)) if !held.is_empty() && !self.calls.is_known(incarnation) => {
+                Some(l.received + LONGEST_LEASE.mul_f64(CLOCK_DRIFT_FACTOR))
+            }
+            (None, _) => None,
+        });
         let inherited = self.inherited_expiry(&server.service);
-        let granted = self.newest(&server.incarnation).and_then(|l| l.expires);
-        granted.map_or(inherited, |g| g.max(inherited))
+        own.map_or(inherited, |o| o.max(inherited))
     }
 
     /// Whether this leader granted a lease in a heartbeat that has not expired.
--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 
 use super::{announce, heartbeat, incarnation, server};
-use crate::fleet::leases::{InheritedLeases, Leases};
+use crate::fleet::leases::{InheritedLeases, LONGEST_LEASE, Leases};
 use crate::fleet::messages::ReleasedRange;
 use crate::fleet::{Change, KeyRange, ServerState, Store};
 use crate::table::{self, Delivery};
@@ -147,6 +147,24 @@
     assert!(leases.has_expired(&owner, &store, now + ALL_EXPIRED));
 }
 
+/// Guards against keys of two owners: an owner that says that it holds keys does, whoever granted them.
+#[test]
+fn keys_that_their_owner_reports_are_not_free_for_want_of_a_grant() {
+    let (store, range) = fixture();
+    let now = Instant::now();
+    let mut leases = super::new_leases(MAX_LEASE, now, 0);
+    let is_free = |leases: &Leases, at| leases.is_free(&range, &store, Delivery::Heartbeat, at);
+    let reported = now + ALL_EXPIRED;
+    assert!(is_free(&leases, reported));
+    leases.record_heartbeat(&heartbeat("a", 1, &[(5, 20)]), 5, reported);
+    assert!(!is_free(&leases, reported), "it holds some");
+    assert!(!is_free(&leases, reported + LONGEST_LEASE));
+    assert!(!leases.has_expired(&incarnation("a", 1), &store, reported + LONGEST_LEASE));
+    assert!(is_free(&leases, reported + LONGEST_LEASE.mul_f64(1.05)));
+    leases.record_heartbeat(&heartbeat("a", 2, &[(10, 20)]), 5, reported);
+    assert!(is_free(&leases, reported), "it has released them");
+}
+
 #[test]
 fn an_owner_that_left_may_still_run_and_one_that_is_gone_does_not() {
     let (mut store, range) = fixture();
