Fleet: heartbeats of registered servers count without their service

Cause: registration::decide looked for the service in the present table first, so the heartbeat of a registered server was acknowledged and dropped. The server stayed registered, as ready, for the service's return.

Change: only the registration of an unknown sender depends on the table.

Result: a_server_that_drains_while_its_service_is_left_out_gets_no_requests failed before (40 of 40 requests arrived at the server) and passes (0).

--- a/src/fleet/registration.rs
+++ b/src/fleet/registration.rs
@@ -5,6 +5,9 @@
 //! server gives way only if it owns no keys, or is silent and has no lease. A heartbeat may also be a
 //! delayed one of a process that has ended: a later incarnation, or a later server at its address,
 //! gives way only to a heartbeat that was sent after its own registration.
+//!
+//! A server stays registered while the routing table lacks its service, as the service may come back:
+//! what its heartbeats say counts meanwhile.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -22,7 +25,7 @@
 pub enum Registration {
     /// The sender is registered.
     Known,
-    /// The heartbeat names a service that the routing table doesn't have.
+    /// The sender is not registered, and the routing table doesn't have its service.
     Ignored,
     /// The heartbeat would displace these servers, which may be running.
     Blocked(Vec<Incarnation>),
@@ -48,13 +51,13 @@
     now: Instant,
 ) -> Registration {
     let sender = &heartbeat.server;
-    if !has_service {
-        return Registration::Ignored;
-    }
     let registered = store.incarnation(&sender.incarnation);
     if registered.is_some_and(|r| r.service == sender.service && r.address == sender.address) {
         return Registration::Known;
     }
+    if !has_service {
+        return Registration::Ignored;
+    }
     let is_later = is_later(store, sender);
     let sent_after = heartbeat.sent_after;
     let is_delayed = !is_later && !store.is_newest(sender, sent_after);
