Gateway: what was learned about a route ends with the route

A route to a slow service had been removed and added again under its name, to a fast service and with a short timeout.

Cause: an entry VM refuses a request if less than 0.4 of the route's average time is left. The average was kept by the route's name, whatever later tables said, and only a response corrects it. Whether responses are long was kept in the same way when a route went to another service.

Change: both are dropped when the next table lacks the route, or sends it to other services only. An average counts up to the timeout of the route at most, so that a request with all of its time left is always sent: this also covers a timeout that is lowered, and responses of the earlier route that come after the change.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -557,9 +557,11 @@
     /// Whether enough time is left for a response that comes quickly.
     fn may_finish(&self) -> bool {
         let left = self.deadline.saturating_duration_since(clock::now());
+        // No response takes longer, so a higher average would never be corrected.
+        let longest = self.route.timeout.as_secs_f64();
         let routing = self.gateway.routing.borrow();
         let average = routing.route_secs.get(&self.route.name);
-        average.is_none_or(|average| left.as_secs_f64() >= average * MIN_TIME_RATIO)
+        average.is_none_or(|a| left.as_secs_f64() >= a.min(longest) * MIN_TIME_RATIO)
     }
 
     async fn await_owner(&self, key: Key, attempts: &Attempts) -> Result<Rc<Backend>, Unavailable> {
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -93,8 +93,7 @@
         if let Some(update) = updates.table {
             let table = update.apply(self.table.as_deref());
             self.lookup = table::Lookup::new(&table);
-            let names: HashSet<_> = table.routes.iter().map(|r| &r.name).collect();
-            self.long_until.retain(|name, _| names.contains(name));
+            self.retain_learned(&table);
             self.limits = Rc::new(table.limits.clone());
             self.table = Some(Arc::new(table));
         }
@@ -277,6 +276,21 @@
         }
     }
 
+    /// Drops what was learned about routes that the next table lacks or sends to other services.
+    fn retain_learned(&mut self, next: &table::Table) {
+        let old_routes = self.table.iter().flat_map(|t| &t.routes);
+        let old_routes: HashMap<_, _> = old_routes.map(|r| (&r.name, r)).collect();
+        let shares_service = |r: &table::Route| {
+            let old = old_routes.get(&r.name).into_iter();
+            let mut old = old.flat_map(|o| o.services());
+            old.any(|s| r.services().any(|n| n == s))
+        };
+        let kept = next.routes.iter().filter(|r| shares_service(r));
+        let names: HashSet<_> = kept.map(|r| &r.name).collect();
+        self.long_until.retain(|name, _| names.contains(name));
+        self.route_secs.retain(|name, _| names.contains(name));
+    }
+
     /// Records whether a response was too long to be held back whole.
     pub fn record_length(&mut self, route: &table::model::RouteName, is_long: bool, now: Instant) {
         let known = self.long_until.entry(Arc::clone(route)).or_insert(now);
--- a/src/gateway/tests/mock.rs
+++ b/src/gateway/tests/mock.rs
@@ -163,7 +163,7 @@
     pub(super) caller_address: SocketAddr,
 }
 
-fn route(prefix: &str, idempotency: Idempotency, service: &str) -> Arc<Route> {
+pub(super) fn route(prefix: &str, idempotency: Idempotency, service: &str) -> Arc<Route> {
     Arc::new(Route {
         name: prefix.into(),
         host: "h".into(),
@@ -260,6 +260,22 @@
         }
     }
 
+    /// Applies a change of the table.
+    pub(super) fn change_table(&self, patch: Patch) {
+        let mut routing = self.gateway.routing.borrow_mut();
+        let index = routing.index + 1;
+        let update = Update {
+            version: index,
+            full: false,
+            patch,
+        };
+        routing.apply(Updates {
+            index,
+            table: Some(update),
+            ..Updates::default()
+        });
+    }
+
     pub(super) async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.caller_address).await.unwrap()
     }
--- a/src/gateway/tests/routing.rs
+++ b/src/gateway/tests/routing.rs
@@ -1,9 +1,17 @@
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use super::mock::{self, Action, Fixture, MockBackend};
 use crate::fleet::updates::{RangeOwner, ServiceRanges, Updates};
 use crate::fleet::{Incarnation, Key, Server, ServerState, Vm, VmRole};
 use crate::gateway::routing::{KeyOwner, RoutingState};
+use crate::runtime;
+use crate::table::{Idempotency, Patch, Route};
+
+const OK: Action =
+    Action::Send("HTTP/1.1 200 OK\nx-request: ID\nx-signature: s\ncontent-length: 2\n\nok");
+
+const REQUEST: &str = "GET /safe/1 HTTP/1.1\nhost: h\nx-request: 7\n\n";
 
 fn server(name: &str, state: ServerState) -> Arc<Server> {
     Arc::new(Server {
@@ -198,3 +206,53 @@
         "an update names an owner"
     );
 }
+
+/// Changes the route `/safe/`, whose responses took four seconds on average and were long; returns the
+/// status of a request on the changed route, and whether its responses count as short.
+fn status_after(changes: &[Patch]) -> (u16, bool) {
+    runtime::run(async {
+        let backend = MockBackend::start(vec![vec![OK]]);
+        let fixture = Fixture::new(&[&backend]);
+        let name: Arc<str> = "/safe/".into();
+        {
+            let mut routing = fixture.gateway.routing.borrow_mut();
+            routing.route_secs.insert(Arc::clone(&name), 4.0);
+            routing.record_length(&name, false, Instant::now());
+        }
+        for change in changes {
+            fixture.change_table(change.clone());
+        }
+        let routing = || fixture.gateway.routing.borrow();
+        let has_short_responses = routing().has_short_responses(&name, Instant::now());
+        let response = fixture.request(REQUEST).await;
+        (mock::status_code(&response), has_short_responses)
+    })
+}
+
+/// A patch that sets a route `/safe/` with a timeout of half a second.
+fn fast_route(service: &str) -> Patch {
+    let mut route = Route::clone(&mock::route("/safe/", Idempotency::Idempotent, service));
+    route.timeout = Duration::from_millis(500);
+    Patch {
+        routes: vec![Arc::new(route)],
+        ..Patch::default()
+    }
+}
+
+/// Guards against a route whose requests are all refused: its average time was that of another service.
+#[test]
+fn a_route_that_goes_to_another_service_starts_anew() {
+    let removal = Patch {
+        removed_routes: ["/safe/".into()].into(),
+        ..Patch::default()
+    };
+    let returned = status_after(&[removal, fast_route("plain")]);
+    assert_eq!(returned, (200, false), "it was removed meanwhile");
+    assert!(!status_after(&[fast_route("owned")]).1);
+}
+
+/// Guards against a route whose requests are all refused, so that no response corrects the average time.
+#[test]
+fn a_lower_timeout_refuses_no_requests_for_good() {
+    assert_eq!(status_after(&[fast_route("plain")]), (200, true));
+}
