Gateway: its own responses to HEAD have no body

Cause: LocalResponse::encode always sent the reason as the body, and the writer didn't know the method. Responses of backend servers to HEAD were framed right, and so were refusals of a relay VM, which have no body; its other responses had one as well.

Change: CallerResponse says whether the request was HEAD, and the body is left out where it is written, for every status, for callers and other entry VMs. The length stays. For a request that can't be read whole, the first bytes of its line tell the method (HttpConnection::starts_with_head_request).

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -84,10 +84,12 @@
             && pending.len() < MAX_PIPELINED_REQUESTS
             && (reads_ahead || pending.is_empty())
         {
+            let is_head = connection.starts_with_head_request();
             match connection.decode_request_head(head_limits(origin, &limits)) {
                 Ok(None) => break,
                 Err(error) => {
-                    pending.push_back(Box::pin(handle(origin, Rc::clone(&gateway), Err(error))));
+                    let request = Err((error, is_head));
+                    pending.push_back(Box::pin(handle(origin, Rc::clone(&gateway), request)));
                     accepts_requests = false;
                 }
                 Ok(Some(head)) if head.body.is_done() => {
@@ -161,7 +163,8 @@
             // Requests in flight have their own deadline, however far away that is.
             Event::TimedOut if !pending.is_empty() => last_activity = clock::now(),
             Event::TimedOut if connection.buffered_bytes() > 0 => {
-                write(&gateway, &mut connection, request_timeout(), true).await;
+                let response = request_timeout(connection.starts_with_head_request());
+                write(&gateway, &mut connection, response, true).await;
                 return;
             }
             Event::Read(_) | Event::Response(None) | Event::TimedOut => return,
@@ -242,15 +245,15 @@
     body: Bytes,
 }
 
-/// Processes a request, or answers a malformed one.
+/// Processes a request, or answers a malformed one, of which it is known whether it is `HEAD`.
 async fn handle(
     origin: Origin,
     gateway: Rc<Gateway>,
-    request: Result<BufferedRequest, DecodeError>,
+    request: Result<BufferedRequest, (DecodeError, bool)>,
 ) -> CallerResponse {
     let BufferedRequest { parts, body } = match request {
         Ok(request) => request,
-        Err(error) => return reject(&error),
+        Err((error, is_head)) => return reject(&error, is_head),
     };
     let close = !keeps_alive(&parts);
     let request_id = parts.headers.get(&gateway.header_names.request_id).cloned();
@@ -269,6 +272,7 @@
     CallerResponse {
         response,
         request_id,
+        is_head: parts.method == Method::HEAD,
         close,
     }
 }
@@ -317,6 +321,7 @@
         }
     }
     let request_id = parts.headers.get(&gateway.header_names.request_id).cloned();
+    let is_head = parts.method == Method::HEAD;
     let caller_timeout = head::parse_number(&parts.headers, &gateway.header_names.deadline);
     let timeout = caller_timeout.map_or(BODY_TIMEOUT, Duration::from_millis);
     let reading = read_request_body(connection, &mut body);
@@ -324,13 +329,13 @@
     let (buffered, is_complete) = match read {
         Ok(Ok(read)) => read,
         Ok(Err(error)) => {
-            write(gateway, connection, reject(&error), true).await;
+            write(gateway, connection, reject(&error, is_head), true).await;
             return ConnectionAction::Close;
         }
         Err(_) => {
             let response = CallerResponse {
                 request_id,
-                ..request_timeout()
+                ..request_timeout(is_head)
             };
             write(gateway, connection, response, true).await;
             return ConnectionAction::Close;
@@ -370,6 +375,7 @@
     let response = CallerResponse {
         response,
         request_id,
+        is_head,
         close: close || !body.is_done(),
     };
     write(gateway, connection, response, true).await
@@ -417,16 +423,17 @@
     }
 }
 
-fn request_timeout() -> CallerResponse {
+fn request_timeout(is_head: bool) -> CallerResponse {
     let response = LocalResponse::new(StatusCode::REQUEST_TIMEOUT, "the request took too long");
     CallerResponse {
         response: Response::Local(response),
         request_id: None,
+        is_head,
         close: true,
     }
 }
 
-fn reject(error: &DecodeError) -> CallerResponse {
+fn reject(error: &DecodeError, is_head: bool) -> CallerResponse {
     let response = match error {
         DecodeError::HeadTooLarge => LocalResponse::new(
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -442,6 +449,7 @@
     CallerResponse {
         response: Response::Local(response),
         request_id: None,
+        is_head,
         close: true,
     }
 }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -18,7 +18,7 @@
     pub status: StatusCode,
     /// Suggested wait before a retry, if one is likely to help.
     pub retry_after: Option<Duration>,
-    /// Reason, sent as the body.
+    /// Reason, sent as the body except to `HEAD`.
     pub reason: &'static str,
 }
 
@@ -91,10 +91,12 @@
         }
     }
 
-    /// Encodes the whole response; `close` if it is the last on its connection.
+    /// Encodes the whole response; `is_head` if it is one to `HEAD`, which has no body, and `close` if
+    /// it is the last on its connection.
     pub fn encode(
         &self,
         request_id: Option<(&http::HeaderName, &HeaderValue)>,
+        is_head: bool,
         close: bool,
     ) -> Vec<u8> {
         let mut headers = HeaderMap::new();
@@ -108,7 +110,9 @@
         }
         let framing = Framing::Length(self.reason.len() as u64);
         let mut bytes = head::encode_response_head(self.status, &headers, framing, close);
-        bytes.extend_from_slice(self.reason.as_bytes());
+        if !is_head {
+            bytes.extend_from_slice(self.reason.as_bytes());
+        }
         bytes
     }
 }
--- a/src/gateway/response_writer.rs
+++ b/src/gateway/response_writer.rs
@@ -25,6 +25,8 @@
 pub(super) struct CallerResponse {
     pub(super) response: Response,
     pub(super) request_id: Option<HeaderValue>,
+    /// Whether the method of the request is `HEAD`.
+    pub(super) is_head: bool,
     pub(super) close: bool,
 }
 
@@ -69,7 +71,7 @@
                 .request_id
                 .as_ref()
                 .map(|id| (&gateway.header_names.request_id, id));
-            (local.encode(id, close), None)
+            (local.encode(id, caller_response.is_head, close), None)
         }
         Response::Backend(backend) => {
             let bytes = backend.encode(close);
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod evacuation;
 mod head;
+mod head_requests;
 mod hedging;
 mod invalid_status;
 mod load_model;
--- a/src/gateway/tests/relay.rs
+++ b/src/gateway/tests/relay.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use monoio::io::AsyncReadRent;
 use monoio::net::{TcpListener, TcpStream};
 use serde_json::Value;
 
@@ -492,6 +493,26 @@
     });
 }
 
+/// Guards against a body behind the head of a response to `HEAD`, at which the sender would lose the
+/// connection to the relay VM: the relay VM ends before the server has answered.
+#[test]
+fn a_relay_vm_sends_no_body_to_head() {
+    runtime::run(async {
+        let backend = MockBackend::start(vec![vec![Action::Wait]]);
+        let pair = Pair::new(&backend);
+        let hop =
+            "HEAD /keyed/1 HTTP/1.1\nhost: h\nx-key: 5\nagateyoke-relay: 1\nx-expected: owner\n\n";
+        let mut stream = TcpStream::connect(pair.relay_address).await.unwrap();
+        send_text(&mut stream, hop).await;
+        wait_until(|| !backend.requests.borrow().is_empty()).await;
+        pair.relay.gateway.abort.stop();
+        let (read, bytes) = stream.read(vec![0_u8; 4096]).await;
+        let response = String::from_utf8_lossy(&bytes[..read.unwrap()]).into_owned();
+        assert_eq!(status_code(&response), 504, "{response}");
+        assert!(response.ends_with("\r\n\r\n"), "{response}");
+    });
+}
+
 /// Fails if a caller chooses the server of its request by the headers of a hop.
 #[test]
 fn a_hop_that_a_caller_pretends_is_ignored() {
--- a/src/web/connection.rs
+++ b/src/web/connection.rs
@@ -125,6 +125,12 @@
         self.buffer.is_empty() && socket::state(self.stream.as_raw_fd()) == SocketState::Idle
     }
 
+    /// Whether the next request is a `HEAD` request, as far as it has arrived.
+    pub fn starts_with_head_request(&self) -> bool {
+        let line = self.buffer.trim_ascii_start();
+        line.starts_with(b"HEAD ")
+    }
+
     /// Decodes a request head; `None` until all of it has arrived.
     ///
     /// # Errors
