Gateway: a long response with others behind it is read to its end first

The first long response of a route that had short ones only broke off in front of them.

Cause: further requests are passed on behind a route's short responses. That a response is long is known when it comes; it was then sent while it arrived, and its end took the connection and what had been passed on with it.

Change: gateway::held_response reads such a response to its end before it is sent, if requests behind it were passed on.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -19,6 +19,7 @@
 
 use super::exchange::{BodySource, MAX_BUFFERED_BYTES};
 use super::head;
+use super::held_response;
 use super::relay::{HOP_HEAD_BYTES, HOP_IDLE_TIMEOUT, PROGRESS, PROGRESS_INTERVAL};
 use super::request::{self as forward, RoutedRequest};
 use super::response::{LocalResponse, Response};
@@ -104,9 +105,10 @@
                 Ok(Some(head)) => {
                     // A body is read only when no earlier request is in flight.
                     while let Some(response) = pending.next().await {
-                        if write(&gateway, &mut connection, response, false).await
-                            == ConnectionAction::Close
-                        {
+                        let is_last = pending.is_empty();
+                        let written =
+                            write_in_order(&gateway, &mut connection, response, is_last, false);
+                        if written.await == ConnectionAction::Close {
                             return;
                         }
                     }
@@ -143,9 +145,8 @@
                 let is_last = pending.is_empty();
                 // Requests that were not read don't run, and callers retry them elsewhere.
                 accepts_requests = accepts_requests && (is_last || !gateway.stop.is_stopping());
-                if write(&gateway, &mut connection, response, is_last).await
-                    == ConnectionAction::Close
-                {
+                let written = write_in_order(&gateway, &mut connection, response, is_last, is_last);
+                if written.await == ConnectionAction::Close {
                     return;
                 }
                 last_activity = clock::now();
@@ -172,6 +173,29 @@
     }
 }
 
+/// Writes a response; `is_last` if no request behind it was passed on, and `may_close` if the connection
+/// then ends on shutdown.
+async fn write_in_order(
+    gateway: &Gateway,
+    connection: &mut HttpConnection,
+    mut caller_response: CallerResponse,
+    is_last: bool,
+    may_close: bool,
+) -> ConnectionAction {
+    if is_last {
+        return write(gateway, connection, caller_response, may_close).await;
+    }
+    let held = pin!(held_response::hold_back(
+        &gateway.held,
+        caller_response.response
+    ));
+    let Some((response, _reservation)) = until_disconnected(connection, held).await else {
+        return ConnectionAction::Close;
+    };
+    caller_response.response = response;
+    write(gateway, connection, caller_response, may_close).await
+}
+
 /// Whether the response to a request will be sent once it is complete, as far as its route tells.
 fn has_short_response(gateway: &Gateway, parts: &request::Parts) -> bool {
     let routing = gateway.routing.borrow();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod exchange;
 pub mod head;
 pub mod hedge;
+pub mod held_response;
 mod notices;
 pub mod peers;
 pub mod relay;
@@ -79,6 +80,8 @@
     pub accept_until: Cell<Option<Instant>>,
     /// Requests that wait for capacity.
     pub waiting: waiting::WaitingRequests,
+    /// Memory for responses that are held back.
+    pub held: held_response::HeldBytes,
     /// Counters of requests by result.
     pub counters: Counters,
 }
@@ -120,6 +123,7 @@
             abort: StopHandle::default(),
             accept_until: Cell::default(),
             waiting: waiting::WaitingRequests::default(),
+            held: held_response::HeldBytes::default(),
             counters: Counters::default(),
         })
     }
--- a/src/gateway/tests/connections.rs
+++ b/src/gateway/tests/connections.rs
@@ -6,6 +6,7 @@
     Action, Fixture, MockBackend, header, read_message, send_text, status_code, wait_until,
 };
 use crate::gateway::exchange::MAX_BUFFERED_BYTES;
+use crate::gateway::held_response::MAX_HELD_BYTES;
 use crate::runtime;
 
 const OK: Action =
@@ -168,6 +169,49 @@
     });
 }
 
+/// Statuses and body lengths of the responses to three pipelined requests on a route with short responses;
+/// the server follows `first` for the first of them.
+fn pipelined_behind(first: Vec<Action>) -> Vec<(u16, usize)> {
+    runtime::run(async move {
+        let backend = MockBackend::start(vec![vec![OK], first, vec![OK], vec![OK]]);
+        let fixture = Fixture::new(&[&backend]);
+        let request = |id| format!("GET /safe/{id} HTTP/1.1\nhost: h\nx-request: {id}\n\n");
+        assert_eq!(status_code(&fixture.request(&request(1)).await), 200);
+        let mut caller = fixture.connect().await;
+        send_text(&mut caller, &[2, 3, 4].map(request).concat()).await;
+        let mut text = String::new();
+        let mut responses = Vec::new();
+        while responses.len() < 3
+            && let Some(response) = read_message(&mut caller, &mut text).await
+        {
+            let body = response.split_once("\r\n\r\n").unwrap().1;
+            responses.push((status_code(&response), body.len()));
+        }
+        responses
+    })
+}
+
+/// Guards against requests that a server ran and that get no response, as the first long response of a
+/// route breaks off in front of them.
+#[test]
+fn requests_behind_a_long_response_that_breaks_off_are_answered() {
+    let long = |length: usize, sent: usize| {
+        let head = "HTTP/1.1 200 OK\nx-request: ID\nx-signature: s";
+        let response = format!("{head}\ncontent-length: {length}\n\n{}", "y".repeat(sent));
+        Action::Send(response.leak())
+    };
+    let length = MAX_BUFFERED_BYTES * 4;
+    let broken = pipelined_behind(vec![long(length, length / 2), Action::Close]);
+    assert_eq!(broken.len(), 3, "{broken:?}");
+    assert_eq!(broken[0].0, 502);
+    assert_eq!(broken[1..], [(200, 2), (200, 2)]);
+    let whole = pipelined_behind(vec![long(length, length)]);
+    assert_eq!(whole, [(200, length), (200, 2), (200, 2)]);
+    let beyond = MAX_HELD_BYTES * 2;
+    let streamed = pipelined_behind(vec![long(beyond, beyond)]);
+    assert_eq!(streamed, [(200, beyond), (200, 2), (200, 2)]);
+}
+
 /// Guards against pipelined requests that are processed one after the other.
 #[test]
 fn requests_behind_a_short_response_are_passed_on_at_once() {
