Web: a connection that never waits pauses for others

Cause: all tasks share one thread, and a task gives it back only where it waits. Each chunk was written by itself, which is slower than a server sends them, so neither reads nor writes had to wait. A caller that sends requests without a pause does the same.

--- a/src/gateway/response_writer.rs
+++ b/src/gateway/response_writer.rs
@@ -101,19 +101,20 @@
 
 /// Forwards the rest of a body; false if its end was not reached.
 async fn stream_body(connection: &mut HttpConnection, mut streaming: StreamingBody) -> bool {
+    // Small chunks are written together.
+    let mut bytes = Vec::new();
     loop {
-        let mut bytes = Vec::new();
         match streaming.connection.next_body_event(&mut streaming.reader) {
-            Ok(BodyEvent::Data(data)) => {
-                streaming.write_data(&mut bytes, &data);
-                if !write_with_timeout(connection, bytes).await {
-                    return false;
-                }
-            }
+            Ok(BodyEvent::Data(data)) => streaming.write_data(&mut bytes, &data),
             Ok(BodyEvent::End) => {
                 streaming.write_end(&mut bytes);
                 return write_with_timeout(connection, bytes).await;
             }
+            Ok(BodyEvent::NeedMore) if !bytes.is_empty() => {
+                if !write_with_timeout(connection, std::mem::take(&mut bytes)).await {
+                    return false;
+                }
+            }
             Ok(BodyEvent::NeedMore) => {
                 let ends_with_connection = streaming.reader == BodyReader::UntilEnd;
                 let filled = {
@@ -126,7 +127,11 @@
                     Some(_) | None => return false,
                 }
             }
-            Err(_) => return false,
+            Err(_) => {
+                // What came before the error is part of the response.
+                write_with_timeout(connection, bytes).await;
+                return false;
+            }
         }
     }
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod copy_model;
 mod endless;
 mod evacuation;
+mod fairness;
 mod head;
 mod head_requests;
 mod hedging;
--- a/src/web/connection.rs
+++ b/src/web/connection.rs
@@ -17,6 +17,7 @@
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::PayloadDecoder;
 
+use super::burst::Burst;
 use super::decode::{self, DecodeError, Payload, RequestHeads, ResponseHeads};
 use super::socket::{self, SocketState};
 
@@ -38,6 +39,7 @@
     received_bytes: u64,
     /// Bytes of blank lines that were skipped before the next request.
     blank_bytes: usize,
+    burst: Burst,
 }
 
 impl HttpConnection {
@@ -52,6 +54,7 @@
             buffer: BytesMut::new(),
             received_bytes: 0,
             blank_bytes: 0,
+            burst: Burst::default(),
         }
     }
 
@@ -79,7 +82,8 @@
     ///
     /// An I/O error of the connection.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        self.stream.readable(false).await?;
+        self.burst.pause_if_long().await;
+        self.burst.run(self.stream.readable(false)).await?;
         let (read, bytes) = self
             .stream
             .read(Vec::with_capacity(READ_BUFFER_BYTES))
@@ -97,7 +101,8 @@
     ///
     /// An I/O error of the connection; some bytes may have been written.
     pub async fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
-        let (written, _) = self.stream.write_all(bytes).await;
+        self.burst.pause_if_long().await;
+        let (written, _) = self.burst.run(self.stream.write_all(bytes)).await;
         written.map(|_| ())
     }
 
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -6,6 +6,7 @@
 //! connections within [`Limits`]. A [`Client`] pools connections, and its errors
 //! say whether a byte of the request may have been sent.
 
+mod burst;
 pub mod client;
 pub mod decode;
 pub mod encode;
