Tests: the response behind an aborted request has arrived before the abort

Cause: a race of the test. A route without a response so far is not read ahead, so the second request was passed on only once the first had timed out, and the abort came when the server had read it, at times before its response was there: an honest 504.

Change: the route gets a short response first, and the abort waits until the second response has arrived, while the first request is still unanswered. The assertions are the same; the first request is now aborted for certain.

--- a/src/gateway/tests/requests.rs
+++ b/src/gateway/tests/requests.rs
@@ -275,11 +275,14 @@
 #[test]
 fn responses_queued_behind_an_aborted_request_are_still_sent() {
     runtime::run(async {
-        let backend = MockBackend::start(vec![vec![Action::Wait], vec![OK]]);
+        let backend = MockBackend::start(vec![vec![OK], vec![Action::Wait], vec![OK]]);
         let fixture = Fixture::new(&[&backend]);
+        // Requests are read ahead only behind those of a route with short responses.
+        assert_eq!(status_code(&fixture.request(SAFE).await), 200);
         let mut caller = fixture.connect().await;
         send_text(&mut caller, &format!("{SAFE}{SAFE}")).await;
-        wait_until(|| backend.requests.borrow().len() == 2).await;
+        wait_until(|| backend.requests.borrow().len() == 3).await;
+        wait_until(|| fixture.gateway.counters.answered.get() == 2).await;
         fixture.gateway.shut_down(Duration::ZERO);
         fixture.gateway.abort.stop();
         let mut text = String::new();
