Tests: the model of heartbeats changes the table as well

Tables now leave out the service, and change the latency target and so the duration of leases; a new leader derives the leases of its predecessor from them.

Traced: the other writer had the exact name, start, service and address of a process that started later, as the start was that of another process. The model says that a start which is yet to come can't be guessed, but excluded it for the varied field only; it does so now whichever way the start is chosen.

--- a/src/fleet/tests/leases.rs
+++ b/src/fleet/tests/leases.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use super::{announce, heartbeat, incarnation, server};
 use crate::fleet::leases::{InheritedLeases, LONGEST_LEASE, Leases};
@@ -220,28 +220,11 @@
     assert!(leases.is_free(&range, &store, Delivery::Heartbeat, later + ALL_EXPIRED));
 }
 
-/// Stores the tables whose only route goes to the service with each latency target; `delivery` is that
-/// of `s`, which is left out of a table whose route goes to another service.
+/// Stores tables, each with the service, the latency target and the delivery of its only route.
 fn tables(versions: &[(&str, u64, &str)]) -> table::Store {
     let mut store = table::Store::default();
     for (version, &(service, target_ms, delivery)) in (1..).zip(versions) {
-        let table = json!({
-            "version": version,
-            "routes": [{
-                "name": "r", "host": "h", "prefix": "/", "repeat": "idempotent", "timeout": 9000,
-                "objective": target_ms, "rank": 1, "attempts": 2, "destination": {"service": service},
-            }],
-            "services": [{
-                "name": service, "connections": 9, "owned": service == "s", "delivery": delivery,
-            }],
-            "limits": table::Limits::default(),
-        });
-        let change = table::Change {
-            base: version - 1,
-            version,
-            digest: version.to_string().into(),
-            body: table::Body::Full(serde_json::from_value(table).unwrap()),
-        };
+        let change = super::change_table(version, service, target_ms, delivery);
         assert_eq!(store.apply(version, change), table::Outcome::Accepted);
     }
     store
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -12,12 +12,14 @@
 
 use std::time::{Duration, Instant};
 
+use serde_json::json;
+
 use super::leases::{InheritedLeases, Leases};
 use super::messages::{Heartbeat, HeldRange};
 use super::model::{Incarnation, Server, ServerState, Vm};
 use super::store::{Change, Ordered};
 use crate::ids;
-use crate::table::Delivery;
+use crate::table::{self, Delivery};
 
 /// Leases of a leader whose predecessor granted leases of up to `lease` in heartbeats.
 fn new_leases(lease: Duration, leading_since: Instant, first_index: ids::LogIndex) -> Leases {
@@ -25,6 +27,27 @@
     Leases::new(inherited, leading_since, first_index)
 }
 
+/// The table whose only route goes to a service, which owns keys if it is `s`.
+fn change_table(version: u64, service: &str, target_ms: u64, delivery: &str) -> table::Change {
+    let table = json!({
+        "version": version,
+        "routes": [{
+            "name": "r", "host": "h", "prefix": "/", "repeat": "idempotent", "timeout": 9000,
+            "objective": target_ms, "rank": 1, "attempts": 2, "destination": {"service": service},
+        }],
+        "services": [{
+            "name": service, "connections": 9, "owned": service == "s", "delivery": delivery,
+        }],
+        "limits": table::Limits::default(),
+    });
+    table::Change {
+        base: version - 1,
+        version,
+        digest: version.to_string().into(),
+        body: table::Body::Full(serde_json::from_value(table).unwrap()),
+    }
+}
+
 fn incarnation(name: &str, start_ms: u64) -> Incarnation {
     Incarnation {
         server: name.into(),
--- a/src/fleet/tests/registration.rs
+++ b/src/fleet/tests/registration.rs
@@ -1,5 +1,6 @@
 //! A model of backend servers that run, restart, leave and are cut off, of heartbeats and departures that
-//! are delayed, and of another writer whose heartbeats vary each field, against the leases of a leader that changes.
+//! are delayed, of another writer whose heartbeats vary each field, and of tables that leave out the service
+//! or change the duration of its leases, against the leases of a leader that changes.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -7,7 +8,7 @@
 
 use super::{announce, heartbeat, incarnation, server};
 use crate::fleet::evacuation::Progress;
-use crate::fleet::leases::Leases;
+use crate::fleet::leases::{self, InheritedLeases, Leases};
 use crate::fleet::load::LoadCounts;
 use crate::fleet::messages::{Heartbeat, HeldRange, Lease, Leave, ReleasedRange};
 use crate::fleet::ranges::{AssignedRange, RangeMap};
@@ -17,10 +18,13 @@
 };
 use crate::fleet::{plan, reassign};
 use crate::ids;
-use crate::table::Delivery;
+use crate::table::{self, Delivery};
 
 const LEASE: Duration = Duration::from_millis(3500);
 
+/// Limit of the leases in the model.
+const MAX_LEASE: Duration = Duration::from_secs(10);
+
 const STEP: Duration = Duration::from_millis(50);
 
 /// Steps between two heartbeats of a server.
@@ -62,6 +66,7 @@
     now: Instant,
     index: u64,
     store: Store,
+    tables: table::Store,
     leases: Leases,
     processes: Vec<Process>,
     /// Leases that the other writer was granted; nobody holds these keys, but they count as granted.
@@ -84,12 +89,15 @@
             cut_until: now,
             left: false,
         };
+        let mut tables = table::Store::default();
+        tables.apply(1, super::change_table(1, "s", 100, "heartbeat"));
         Self {
             random: fastrand::Rng::with_seed(seed),
             now,
-            index: 0,
+            index: 1,
             store: Store::default(),
             leases: super::new_leases(LEASE, now, 0),
+            tables,
             processes: [("a", 1), ("b", 2), ("c", 3)].map(process).into(),
             granted: Vec::new(),
             delayed_leaves: Vec::new(),
@@ -111,6 +119,8 @@
         self.now += STEP;
         if disturbed {
             self.disturb();
+        } else if !self.tables.is_sharded("s") {
+            self.change_table("s", 100);
         }
         self.deliver_delayed();
         for i in 0..self.processes.len() {
@@ -122,7 +132,9 @@
                 self.send_heartbeat(i);
             }
         }
-        self.plan();
+        if self.tables.is_sharded("s") {
+            self.plan();
+        }
         self.check_owners();
     }
 
@@ -150,10 +162,24 @@
         if self.chance(0.003) {
             // The new leader begins with an entry of its own.
             self.index += 1;
-            self.leases = super::new_leases(LEASE, self.now, self.index);
+            let inherited = InheritedLeases::from_tables(&self.tables, MAX_LEASE);
+            self.leases = Leases::new(inherited, self.now, self.index);
+        }
+        if self.chance(0.02) {
+            let service = if self.chance(0.5) { "other" } else { "s" };
+            let target_ms = self.random.u64(100..12_000);
+            self.change_table(service, target_ms);
         }
     }
 
+    fn change_table(&mut self, service: &str, target_ms: u64) {
+        self.index += 1;
+        let version = self.tables.version() + 1;
+        let change = super::change_table(version, service, target_ms, "heartbeat");
+        let outcome = self.tables.apply(self.index, change);
+        assert_eq!(outcome, table::Outcome::Accepted);
+    }
+
     /// A process says that it leaves, and goes on serving for some seconds.
     fn leave(&mut self, which: usize) {
         let process = &mut self.processes[which];
@@ -209,10 +235,20 @@
             server.incarnation.server = names[random.usize(..names.len())].into();
         }
         if varies(1) {
-            // The time of a start that is yet to come can't be guessed.
             let starts = [0, 99, 100, 110, u64::MAX];
             server.incarnation.start_ms = starts[random.usize(..starts.len())];
         }
+        // The time of a start that is yet to come can't be guessed, nor be that of another server.
+        let named = self
+            .processes
+            .iter()
+            .find(|p| p.server.incarnation.server == server.incarnation.server);
+        let is_to_come = |p: &Process| {
+            (p.server.incarnation.start_ms + 1..110).contains(&server.incarnation.start_ms)
+        };
+        if named.is_some_and(is_to_come) {
+            server.incarnation.start_ms = 110;
+        }
         if varies(2) {
             server.service = ["s", "unknown"][random.usize(..2)].into();
         }
@@ -290,7 +326,7 @@
     /// Answers a heartbeat as the coordinator does.
     fn answer(&mut self, heartbeat: &Heartbeat) -> Option<Lease> {
         let sender = heartbeat.incarnation().clone();
-        let has_service = *heartbeat.server.service == *"s";
+        let has_service = self.tables.is_sharded(&heartbeat.server.service);
         let decision =
             registration::decide(heartbeat, has_service, &self.store, &self.leases, self.now);
         match decision {
@@ -313,6 +349,9 @@
             let incarnation = sender.clone();
             self.apply(Change::SetState { incarnation, state });
         }
+        if !has_service {
+            return None;
+        }
         let released = self.free(|r| r.next.is_some() && r.owner.as_ref() == Some(&sender));
         if !released.is_empty() {
             self.apply(Change::Release {
@@ -336,9 +375,10 @@
                 join: self.index.is_multiple_of(2),
             });
         }
-        self.leases.record_grant(&sender, LEASE, self.now);
-        let lease = reassign::lease(&self.store, "s", &sender, LEASE);
-        let until = self.now + LEASE;
+        let duration = leases::lease_duration(self.tables.longest_target("s"), MAX_LEASE);
+        self.leases.record_grant(&sender, duration, self.now);
+        let lease = reassign::lease(&self.store, "s", &sender, duration);
+        let until = self.now + duration;
         self.granted.retain(|g| g.0 != sender);
         self.granted
             .extend(held(&lease).map(|h| (sender.clone(), h, until)));
