Web: a rejection of a HEAD request has no body

What callers of the document interface and operators saw: bytes behind the head of the last response of a connection, if their HEAD request was rejected before its handler ran.

Cause: Connection::refuse writes the reason as the body, without regard to the method. Responses of handlers to HEAD lost theirs already.

Change: what has arrived of the request tells the method, by the same function as in the gateway.

--- a/src/web/connection.rs
+++ b/src/web/connection.rs
@@ -132,8 +132,7 @@
 
     /// Whether the next request is a `HEAD` request, as far as it has arrived.
     pub fn starts_with_head_request(&self) -> bool {
-        let line = self.buffer.trim_ascii_start();
-        line.starts_with(b"HEAD ")
+        decode::starts_with_head_request(&self.buffer)
     }
 
     /// Decodes a request head; `None` until all of it has arrived.
--- a/src/web/decode.rs
+++ b/src/web/decode.rs
@@ -147,6 +147,11 @@
         || status == StatusCode::NOT_MODIFIED
 }
 
+/// Whether bytes that may not be a whole request begin one with the method `HEAD`.
+pub(super) fn starts_with_head_request(received: &[u8]) -> bool {
+    received.trim_ascii_start().starts_with(b"HEAD ")
+}
+
 /// Finds the end of a head; each call continues where the last one ended.
 struct HeadScanner {
     limit: usize,
--- a/src/web/tests/bad_input.rs
+++ b/src/web/tests/bad_input.rs
@@ -48,6 +48,32 @@
     assert_rejected(wide, "431", &[&post(&name, "")]);
 }
 
+/// Guards against bytes behind the head of a response to `HEAD`, which has no body.
+#[test]
+fn a_rejection_of_head_has_no_body() {
+    let head = |headers: &str| format!("HEAD /p HTTP/1.1\r\nhost: a\r\n{headers}\r\n").into_bytes();
+    let large = head(&format!("x: {}\r\n", "y".repeat(2000)));
+    for (status, request) in [
+        ("431", large),
+        ("400", head("host: b\r\n")),
+        ("413", head("content-length: 4097\r\n")),
+        (
+            "400",
+            head("transfer-encoding: chunked\r\n\r\nno chunk\r\n"),
+        ),
+    ] {
+        runtime::run(async {
+            let (address, _) = start_echo_server(limits());
+            let response = exchange(address, &[&request]).await;
+            assert!(
+                response.starts_with(&format!("HTTP/1.1 {status} ")),
+                "{response:?}"
+            );
+            assert!(response.ends_with("\r\n\r\n"), "{response:?}");
+        });
+    }
+}
+
 #[test]
 fn large_body_is_rejected() {
     assert_rejected(limits(), "413", &[&post("content-length: 4097\r\n", "")]);
