Gateway: held responses and malformed requests are easier to read

No change of behaviour. hold_back completes the body in place, a malformed request has a type of its own, and the responses to pending requests are written in a function of their own.

--- a/src/fleet/coordinator.rs
+++ b/src/fleet/coordinator.rs
@@ -613,7 +613,7 @@
             let new = || {
                 let inherited =
                     InheritedLeases::from_tables(&self.state.table.borrow(), self.max_lease);
-                ::log::info!("event=fleet.leases_inherited {inherited:?}");
+                ::log::info!("event=fleet.leases_inherited leases={inherited:?}");
                 Leases::new(inherited, leading_since, self.log.applied_index())
             };
             leases.insert(current.unwrap_or_else(new))
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -89,7 +89,7 @@
             match connection.decode_request_head(head_limits(origin, &limits)) {
                 Ok(None) => break,
                 Err(error) => {
-                    let request = Err((error, is_head));
+                    let request = Err(MalformedRequest { error, is_head });
                     pending.push_back(Box::pin(handle(origin, Rc::clone(&gateway), request)));
                     accepts_requests = false;
                 }
@@ -104,13 +104,10 @@
                 }
                 Ok(Some(head)) => {
                     // A body is read only when no earlier request is in flight.
-                    while let Some(response) = pending.next().await {
-                        let is_last = pending.is_empty();
-                        let written =
-                            write_in_order(&gateway, &mut connection, response, is_last, false);
-                        if written.await == ConnectionAction::Close {
-                            return;
-                        }
+                    if write_pending(&gateway, &mut connection, &mut pending).await
+                        == ConnectionAction::Close
+                    {
+                        return;
                     }
                     // Boxed, because an idle connection would otherwise reserve space for it.
                     let request = Box::pin(handle_with_body(
@@ -145,7 +142,8 @@
                 let is_last = pending.is_empty();
                 // Requests that were not read don't run, and callers retry them elsewhere.
                 accepts_requests = accepts_requests && (is_last || !gateway.stop.is_stopping());
-                let written = write_in_order(&gateway, &mut connection, response, is_last, is_last);
+                let written =
+                    write_in_order(&gateway, &mut connection, response, !is_last, is_last);
                 if written.await == ConnectionAction::Close {
                     return;
                 }
@@ -173,17 +171,36 @@
     }
 }
 
-/// Writes a response; `is_last` if no request behind it was passed on, and `may_close` if the connection
-/// then ends on shutdown.
+/// Writes the responses to all requests that were passed on.
+async fn write_pending<F>(
+    gateway: &Gateway,
+    connection: &mut HttpConnection,
+    pending: &mut FuturesOrdered<F>,
+) -> ConnectionAction
+where
+    F: Future<Output = CallerResponse>,
+{
+    while let Some(response) = pending.next().await {
+        let has_followers = !pending.is_empty();
+        let written = write_in_order(gateway, connection, response, has_followers, false);
+        if written.await == ConnectionAction::Close {
+            return ConnectionAction::Close;
+        }
+    }
+    ConnectionAction::KeepOpen
+}
+
+/// Writes a response, which is held back if requests behind it were passed on (`has_followers`); on
+/// shutdown, the last one of a connection closes it.
 async fn write_in_order(
     gateway: &Gateway,
     connection: &mut HttpConnection,
     mut caller_response: CallerResponse,
+    has_followers: bool,
     is_last: bool,
-    may_close: bool,
 ) -> ConnectionAction {
-    if is_last {
-        return write(gateway, connection, caller_response, may_close).await;
+    if !has_followers {
+        return write(gateway, connection, caller_response, is_last).await;
     }
     let held = pin!(held_response::hold_back(
         &gateway.held,
@@ -193,7 +210,7 @@
         return ConnectionAction::Close;
     };
     caller_response.response = response;
-    write(gateway, connection, caller_response, may_close).await
+    write(gateway, connection, caller_response, is_last).await
 }
 
 /// Whether the response to a request will be sent once it is complete, as far as its route tells.
@@ -269,15 +286,22 @@
     body: Bytes,
 }
 
-/// Processes a request, or answers a malformed one, of which it is known whether it is `HEAD`.
+/// Request that can't be decoded.
+struct MalformedRequest {
+    error: DecodeError,
+    /// Whether the method is `HEAD`.
+    is_head: bool,
+}
+
+/// Processes a request, or answers a malformed one.
 async fn handle(
     origin: Origin,
     gateway: Rc<Gateway>,
-    request: Result<BufferedRequest, (DecodeError, bool)>,
+    request: Result<BufferedRequest, MalformedRequest>,
 ) -> CallerResponse {
     let BufferedRequest { parts, body } = match request {
         Ok(request) => request,
-        Err((error, is_head)) => return reject(&error, is_head),
+        Err(request) => return reject(&request),
     };
     let close = !keeps_alive(&parts);
     let request_id = parts.headers.get(&gateway.header_names.request_id).cloned();
@@ -353,7 +377,8 @@
     let (buffered, is_complete) = match read {
         Ok(Ok(read)) => read,
         Ok(Err(error)) => {
-            write(gateway, connection, reject(&error, is_head), true).await;
+            let response = reject(&MalformedRequest { error, is_head });
+            write(gateway, connection, response, true).await;
             return ConnectionAction::Close;
         }
         Err(_) => {
@@ -457,8 +482,8 @@
     }
 }
 
-fn reject(error: &DecodeError, is_head: bool) -> CallerResponse {
-    let response = match error {
+fn reject(request: &MalformedRequest) -> CallerResponse {
+    let response = match &request.error {
         DecodeError::HeadTooLarge => LocalResponse::new(
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             "the head is too large",
@@ -473,7 +498,7 @@
     CallerResponse {
         response: Response::Local(response),
         request_id: None,
-        is_head,
+        is_head: request.is_head,
         close: true,
     }
 }
--- a/src/gateway/held_response.rs
+++ b/src/gateway/held_response.rs
@@ -12,7 +12,7 @@
 use http::StatusCode;
 use monoio::time;
 
-use super::response::{BackendResponse, LocalResponse, Response, ResponseBody, StreamingBody};
+use super::response::{LocalResponse, Response, ResponseBody, StreamingBody};
 use crate::clock;
 use crate::web::connection::{BodyEvent, BodyReader};
 
@@ -50,8 +50,8 @@
 /// What was read of a body.
 enum Body {
     Complete(Bytes),
-    /// The limit was reached before the end.
-    Partial(Bytes),
+    /// The limit was reached before the end; what was read is buffered.
+    Partial,
     BrokenOff,
 }
 
@@ -62,63 +62,61 @@
     memory: &HeldBytes,
     response: Response,
 ) -> (Response, Option<Reservation>) {
-    let (status, headers, mut streaming) = match response {
-        Response::Backend(BackendResponse {
-            status,
-            headers,
-            body: ResponseBody::Streaming(streaming),
-        }) => (status, headers, streaming),
+    let reservation = match &response {
+        Response::Backend(backend) if backend.is_streamed() => memory.reserve(),
+        Response::Backend(_) | Response::Local(_) => None,
+    };
+    let mut backend = match response {
+        Response::Backend(backend) if reservation.is_some() => backend,
         other => return (other, None),
     };
-    let Some(reservation) = memory.reserve() else {
-        let body = ResponseBody::Streaming(streaming);
-        let response = BackendResponse {
-            status,
-            headers,
-            body,
-        };
-        return (Response::Backend(response), None);
+    match complete(&mut backend.body).await {
+        Ok(()) => (Response::Backend(backend), reservation),
+        Err(failure) => {
+            log::info!(
+                "event=gateway.held_failed status={} reason={:?}",
+                failure.status.as_u16(),
+                failure.reason,
+            );
+            (Response::Local(failure), None)
+        }
+    }
+}
+
+/// Completes a body; `Err` is the response in place of one that breaks off or takes too long.
+async fn complete(body: &mut ResponseBody) -> Result<(), LocalResponse> {
+    let ResponseBody::Streaming(streaming) = body else {
+        return Ok(());
     };
     let left = streaming.deadline.saturating_duration_since(clock::now());
-    let body = match time::timeout(left, read_body(&mut streaming)).await {
-        Ok(Body::Complete(body)) => ResponseBody::Complete(body),
-        Ok(Body::Partial(buffered)) => {
-            streaming.buffered = buffered;
-            ResponseBody::Streaming(streaming)
+    match time::timeout(left, read_body(streaming)).await {
+        Ok(Body::Complete(bytes)) => *body = ResponseBody::Complete(bytes),
+        Ok(Body::Partial) => {}
+        Ok(Body::BrokenOff) => {
+            return Err(LocalResponse::new(
+                StatusCode::BAD_GATEWAY,
+                "no whole answer",
+            ));
         }
-        Ok(Body::BrokenOff) => return (failure(StatusCode::BAD_GATEWAY, "no whole answer"), None),
         Err(_) => {
-            return (
-                failure(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-                None,
-            );
+            return Err(LocalResponse::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                "no answer in time",
+            ));
         }
-    };
-    let response = BackendResponse {
-        status,
-        headers,
-        body,
-    };
-    (Response::Backend(response), Some(reservation))
-}
-
-fn failure(status: StatusCode, reason: &'static str) -> Response {
-    log::info!(
-        "event=gateway.held_failed status={} reason={reason:?}",
-        status.as_u16()
-    );
-    Response::Local(LocalResponse::new(status, reason))
+    }
+    Ok(())
 }
 
 async fn read_body(streaming: &mut StreamingBody) -> Body {
     let mut buffered = BytesMut::from(&streaming.buffered[..]);
     loop {
-        let event = streaming.connection.next_body_event(&mut streaming.reader);
-        match event {
+        match streaming.connection.next_body_event(&mut streaming.reader) {
             Ok(BodyEvent::Data(data)) => buffered.extend_from_slice(&data),
             Ok(BodyEvent::End) => return Body::Complete(buffered.freeze()),
             Ok(BodyEvent::NeedMore) if buffered.len() >= MAX_HELD_BYTES => {
-                return Body::Partial(buffered.freeze());
+                streaming.buffered = buffered.freeze();
+                return Body::Partial;
             }
             Ok(BodyEvent::NeedMore) => {
                 let ends_with_connection = streaming.reader == BodyReader::UntilEnd;
--- a/src/web/burst.rs
+++ b/src/web/burst.rs
@@ -5,11 +5,11 @@
 //! no other task would run: not even the timer of a time limit. So a connection pauses after a burst of
 //! such operations.
 
+use std::future;
 use std::pin::pin;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
-use futures_util::future;
 use monoio::time;
 
 use crate::clock;
