Web, gateway: idle connections reserve no space for rare waits

Cause: the tasks of idle caller connections held space for a response that is held back, and those of all connections for the timer of a pause and for two copies of each operation.

Change: what is rarely needed is boxed, and Burst::run takes a pinned operation.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -104,12 +104,11 @@
                 }
                 Ok(Some(head)) => {
                     // A body is read only when no earlier request is in flight.
-                    if write_pending(&gateway, &mut connection, &mut pending).await
-                        == ConnectionAction::Close
-                    {
+                    // Boxed, because an idle connection would otherwise reserve space for both.
+                    let earlier = Box::pin(write_pending(&gateway, &mut connection, &mut pending));
+                    if earlier.await == ConnectionAction::Close {
                         return;
                     }
-                    // Boxed, because an idle connection would otherwise reserve space for it.
                     let request = Box::pin(handle_with_body(
                         origin,
                         &gateway,
@@ -199,18 +198,19 @@
     has_followers: bool,
     is_last: bool,
 ) -> ConnectionAction {
-    if !has_followers {
-        return write(gateway, connection, caller_response, is_last).await;
+    let mut reservation = None;
+    if has_followers {
+        // Boxed, because an idle connection would otherwise reserve space for it.
+        let held = held_response::hold_back(&gateway.held, caller_response.response);
+        let mut held = Box::pin(held);
+        let Some(completed) = until_disconnected(connection, held.as_mut()).await else {
+            return ConnectionAction::Close;
+        };
+        (caller_response.response, reservation) = completed;
     }
-    let held = pin!(held_response::hold_back(
-        &gateway.held,
-        caller_response.response
-    ));
-    let Some((response, _reservation)) = until_disconnected(connection, held).await else {
-        return ConnectionAction::Close;
-    };
-    caller_response.response = response;
-    write(gateway, connection, caller_response, is_last).await
+    let action = write(gateway, connection, caller_response, is_last).await;
+    drop(reservation);
+    action
 }
 
 /// Whether the response to a request will be sent once it is complete, as far as its route tells.
--- a/src/web/burst.rs
+++ b/src/web/burst.rs
@@ -6,7 +6,7 @@
 //! such operations.
 
 use std::future;
-use std::pin::pin;
+use std::pin::Pin;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -37,17 +37,17 @@
     pub(super) async fn pause_if_long(&mut self) {
         let is_long = |since| clock::now() >= since + MAX_BURST;
         if self.since.is_some_and(is_long) {
-            time::sleep(PAUSE).await;
+            // Boxed, because each connection would otherwise reserve space for the timer.
+            Box::pin(time::sleep(PAUSE)).await;
             *self = Self::default();
         }
     }
 
     /// Runs an operation and counts it unless it has to wait.
-    pub(super) async fn run<F>(&mut self, operation: F) -> F::Output
+    pub(super) async fn run<F>(&mut self, mut operation: Pin<&mut F>) -> F::Output
     where
         F: Future,
     {
-        let mut operation = pin!(operation);
         let first = future::poll_fn(|cx| Poll::Ready(operation.as_mut().poll(cx))).await;
         if let Poll::Ready(output) = first {
             self.operations = self.operations.saturating_add(1);
--- a/src/web/connection.rs
+++ b/src/web/connection.rs
@@ -8,6 +8,7 @@
 use std::fmt;
 use std::io;
 use std::os::fd::AsRawFd;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -83,7 +84,10 @@
     /// An I/O error of the connection.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.burst.pause_if_long().await;
-        self.burst.run(self.stream.readable(false)).await?;
+        {
+            let readable = pin!(self.stream.readable(false));
+            self.burst.run(readable).await?;
+        }
         let (read, bytes) = self
             .stream
             .read(Vec::with_capacity(READ_BUFFER_BYTES))
@@ -102,7 +106,8 @@
     /// An I/O error of the connection; some bytes may have been written.
     pub async fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
         self.burst.pause_if_long().await;
-        let (written, _) = self.burst.run(self.stream.write_all(bytes)).await;
+        let writing = pin!(self.stream.write_all(bytes));
+        let (written, _) = self.burst.run(writing).await;
         written.map(|_| ())
     }
 
