Web: a rejection of HEAD has no body if its method arrives in pieces

What callers of the document interface and operators saw: bytes behind the head of the response to a rejected HEAD request whose first segment was shorter than its method.

Cause: the connection asked for the method once, before it read the rest.

Change: the decoder of heads, which sees all that has arrived, keeps what it found, and the rejection asks it.

--- a/src/web/decode.rs
+++ b/src/web/decode.rs
@@ -70,6 +70,7 @@
     scanner: HeadScanner,
     max_body_bytes: usize,
     inner: GenericHeadDecoder<(), RequestHeadDecoder, DirectWrapper>,
+    is_head_request: bool,
 }
 
 impl RequestHeads {
@@ -78,8 +79,14 @@
             scanner: HeadScanner::new(max_head_bytes),
             max_body_bytes,
             inner: GenericHeadDecoder::default(),
+            is_head_request: false,
         }
     }
+
+    /// Whether the newest request, which may be malformed or incomplete, is a `HEAD` request.
+    pub(super) fn is_head_request(&self) -> bool {
+        self.is_head_request
+    }
 }
 
 impl Decoder for RequestHeads {
@@ -88,6 +95,7 @@
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, DecodeError> {
         skip_blank_lines(src);
+        self.is_head_request = starts_with_head_request(src);
         if !self.scanner.contains_head(src)? {
             return Ok(Decoded::Insufficient);
         }
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -20,7 +20,7 @@
 use monoio_http::h1::codec::decoder::PayloadDecoder;
 use monoio_http::h1::codec::encoder::GenericEncoder;
 
-use super::decode::{self, ChunkedBody, DecodeError, FixedBody, Payload, RequestHeads};
+use super::decode::{ChunkedBody, DecodeError, FixedBody, Payload, RequestHeads};
 use super::encode::FullBody;
 use super::guard;
 use super::limits::Limits;
@@ -229,14 +229,13 @@
         match self.wait_for_request(limit).await {
             WaitResult::Bytes => {}
             WaitResult::Closed => return,
-            WaitResult::TimedOut => return self.refuse(&ErrorResponse::timeout(), false).await,
+            WaitResult::TimedOut => return self.refuse(&ErrorResponse::timeout()).await,
         }
         loop {
-            let is_head_request = decode::starts_with_head_request(self.reader.read_buffer());
             let request = match self.read().await {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
-                Err(error_response) => return self.refuse(&error_response, is_head_request).await,
+                Err(error_response) => return self.refuse(&error_response).await,
             };
             if !self.handle(request, handler).await {
                 return;
@@ -340,9 +339,9 @@
         written && keep_open
     }
 
-    async fn refuse(mut self, error_response: &ErrorResponse, is_head_request: bool) {
+    async fn refuse(mut self, error_response: &ErrorResponse) {
         let mut response = error_response.response();
-        if is_head_request {
+        if self.reader.decoder().is_head_request() {
             response.body_mut().clear();
         }
         if write(&mut self.writer, response, self.limits.write_timeout).await {
--- a/src/web/tests/bad_input.rs
+++ b/src/web/tests/bad_input.rs
@@ -48,7 +48,8 @@
     assert_rejected(wide, "431", &[&post(&name, "")]);
 }
 
-/// Guards against bytes behind the head of a response to `HEAD`, which has no body.
+/// Guards against bytes behind the head of a response to `HEAD`, which has no body, also if the method
+/// arrives in pieces.
 #[test]
 fn a_rejection_of_head_has_no_body() {
     let head = |headers: &str| format!("HEAD /p HTTP/1.1\r\nhost: a\r\n{headers}\r\n").into_bytes();
@@ -61,16 +62,24 @@
             "400",
             head("transfer-encoding: chunked\r\n\r\nno chunk\r\n"),
         ),
+        ("408", b"HEAD /p".to_vec()),
     ] {
-        runtime::run(async {
-            let (address, _) = start_echo_server(limits());
-            let response = exchange(address, &[&request]).await;
-            assert!(
-                response.starts_with(&format!("HTTP/1.1 {status} ")),
-                "{response:?}"
-            );
-            assert!(response.ends_with("\r\n\r\n"), "{response:?}");
-        });
+        let mut limits = limits();
+        if status == "408" {
+            limits.head_timeout = Duration::from_millis(50);
+        }
+        for first in [0, 1, 4] {
+            runtime::run(async {
+                let (address, _) = start_echo_server(limits.clone());
+                let (start, rest) = request.split_at(first);
+                let response = exchange(address, &[start, rest]).await;
+                assert!(
+                    response.starts_with(&format!("HTTP/1.1 {status} ")),
+                    "{response:?}"
+                );
+                assert!(response.ends_with("\r\n\r\n"), "{first} {response:?}");
+            });
+        }
     }
 }
 
