Web: a server connection that never waits pauses for others

What was seen in a test, not in use: a connection of an operator, a backend server or another VM that sends requests without a pause keeps a control VM from everything else, timers included, until it stops.

Cause: all tasks share one thread, and a connection of web::server whose next request has arrived already never gives it back.

Change: reading, handling and waiting for the next request run in a Burst, as the reads and writes of HttpConnection do.

Result: requests_without_a_pause_keep_no_other_connection_waiting failed before (the other connection was served after the last of 20,000 requests) and passes, 20 of 20.

--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -20,6 +20,7 @@
 use monoio_http::h1::codec::decoder::PayloadDecoder;
 use monoio_http::h1::codec::encoder::GenericEncoder;
 
+use super::burst::Burst;
 use super::decode::{ChunkedBody, DecodeError, FixedBody, Payload, RequestHeads};
 use super::encode::FullBody;
 use super::guard;
@@ -231,16 +232,20 @@
             WaitResult::Closed => return,
             WaitResult::TimedOut => return self.refuse(&ErrorResponse::timeout()).await,
         }
+        let mut burst = Burst::default();
         loop {
-            let request = match self.read().await {
+            burst.pause_if_long().await;
+            let read = burst.run(pin!(self.read())).await;
+            let request = match read {
                 Ok(Some(request)) => request,
                 Ok(None) => return,
                 Err(error_response) => return self.refuse(&error_response).await,
             };
-            if !self.handle(request, handler).await {
+            if !burst.run(pin!(self.handle(request, handler))).await {
                 return;
             }
-            match self.wait_for_request(self.limits.idle_timeout).await {
+            let limit = self.limits.idle_timeout;
+            match burst.run(pin!(self.wait_for_request(limit))).await {
                 WaitResult::Bytes => {}
                 WaitResult::Closed | WaitResult::TimedOut => return,
             }
--- a/src/web/tests/server.rs
+++ b/src/web/tests/server.rs
@@ -1,5 +1,10 @@
 //! Tests of the server with well-formed requests.
 
+use std::io::{Read, Write};
+use std::net;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use monoio::io::AsyncWriteRentExt;
@@ -10,6 +15,8 @@
 use crate::runtime;
 use crate::web::Limits;
 
+const REQUEST_COUNT: usize = 20_000;
+
 async fn send(stream: &mut TcpStream, bytes: &[u8]) {
     stream.write_all(bytes.to_vec()).await.0.unwrap();
 }
@@ -154,3 +161,36 @@
         assert!(TcpStream::connect(address).await.is_err());
     });
 }
+
+/// Guards against a server that does nothing else while a connection sends requests without a pause.
+#[test]
+fn requests_without_a_pause_keep_no_other_connection_waiting() {
+    let request = "GET /fine HTTP/1.1\r\nhost: a\r\n\r\n";
+    runtime::run(async {
+        let (address, _) = start_echo_server(Limits::default());
+        let (begun, ended) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(AtomicBool::new(false)),
+        );
+        let flags = (Arc::clone(&begun), Arc::clone(&ended));
+        thread::spawn(move || {
+            let mut stream = net::TcpStream::connect(address).unwrap();
+            let mut sending = stream.try_clone().unwrap();
+            let last = "GET /fine HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+            // Fails if the test has ended.
+            thread::spawn(move || {
+                drop(sending.write_all((request.repeat(REQUEST_COUNT) + last).as_bytes()));
+            });
+            let mut buffer = vec![0; 64 << 10];
+            while let Ok(1..) = stream.read(&mut buffer) {
+                flags.0.store(true, Ordering::Relaxed);
+            }
+            flags.1.store(true, Ordering::Relaxed);
+        });
+        while !begun.load(Ordering::Relaxed) {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_serves(address).await;
+        assert!(!ended.load(Ordering::Relaxed), "it waited for the other");
+    });
+}
