Log: writes to the data directory that take half a second are logged

Their control VMs took 5.4 s and 2.3 s to commit a change with a majority up, and nothing in their outputs told a disk that stalls from a VM that doesn't run.

Change: the disk thread logs a job that took half a second or more, with its kind.

--- a/src/log/writer.rs
+++ b/src/log/writer.rs
@@ -11,17 +11,22 @@
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use super::atomic_file;
 use super::data_dir::{self, Segment};
 use super::model::{Entry, Snapshot, Vote};
 use super::oneshot::{Receiver, Sender};
 use super::segment;
+use crate::clock;
 use crate::ids;
 
 /// Size from which on a segment takes no more entries.
 const SEGMENT_BYTES: u64 = 16 << 20;
 
+/// Duration from which on a job is logged: about the shortest lease.
+const SLOW_JOB: Duration = Duration::from_millis(500);
+
 /// A write to the data directory.
 #[derive(Debug)]
 pub(super) enum Job {
@@ -35,6 +40,17 @@
     InstallSnapshot(Arc<Snapshot>),
 }
 
+impl Job {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Append(_) => "append",
+            Self::Vote(_) => "vote",
+            Self::SaveSnapshot(_) => "save_snapshot",
+            Self::InstallSnapshot(_) => "install_snapshot",
+        }
+    }
+}
+
 struct QueuedJob {
     job: Job,
     reply: Sender<JobResult>,
@@ -117,11 +133,17 @@
 impl WriterThread {
     fn run_jobs(&mut self, queue: &mpsc::Receiver<QueuedJob>) {
         while let Ok(queued) = queue.recv() {
+            let begun = clock::now();
             let result = match &self.failed {
                 Some(reason) => Err(Arc::clone(reason)),
                 None => self.run(&queued.job).map_err(|e| e.to_string().into()),
             };
             self.failed = result.as_ref().err().cloned();
+            let duration = clock::now().saturating_duration_since(begun);
+            if duration >= SLOW_JOB {
+                let ms = duration.as_millis();
+                ::log::info!("event=log.slow_disk job={} ms={ms}", queued.job.name());
+            }
             queued.reply.send(result);
         }
     }
